node: give each claim of ownership a sequence number of its own

Cause: two VMs that claimed epoch 1 at once both got 200, since the log answers a known producer, epoch and sequence like the first append, before it checks 'at'. Ruled out: the condition on the end; it is not reached. Change: an epoch begins at a random sequence number.

--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -31,6 +31,8 @@
 """VMs that see an owner silent claim at different times within this."""
 CLAIM_PAUSE_SECONDS: Final = 0.2
 """Pause after a claim that did not win."""
+SEQUENCES: Final = 2**31
+"""Range of the sequence numbers that an epoch may begin with."""
 RELEASE_SECONDS: Final = 1.5
 """Longest time that a planned stop waits for the release of ownership."""
 
@@ -68,6 +70,7 @@
         self._candidacy = Candidacy(delay=random.uniform(0.0, CLAIM_SPREAD_SECONDS))
         self._owner: Owner | None = None
         self._ended_epoch = 0
+        self._sequence = 0
         self._stopping = False
         self._election = asyncio.Event()
         self._view.on_submission = self._submitted
@@ -152,8 +155,12 @@
         )
         record = KeyedRecord(key=OWNER_KEY, value=encode_record(claim))
         at = self._view.jobs.next_offset
+        # The log answers an append with a known sequence number like the first one, so two VMs
+        # that claim the same epoch must not share theirs.
+        self._sequence = secrets.randbelow(SEQUENCES)
         try:
-            await self._log_port.append([record], at=at, fence=Fence(epoch=claim.epoch, sequence=0))
+            fence = Fence(epoch=claim.epoch, sequence=self._sequence)
+            await self._log_port.append([record], at=at, fence=fence)
         except (SupersededError, NothingDoneError, NoAnswerError) as error:
             self._counters.add("claims", reason=type(error).__name__)
             log("claim_not_confirmed", epoch=claim.epoch, at=at, error=str(error))
@@ -169,6 +176,7 @@
             log_port=self._log_port,
             workers=self._workers,
             claim=claim,
+            sequence=self._sequence,
             bounds=self._bounds,
             counters=self._counters,
         )
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -62,6 +62,7 @@
         log_port: The platform's log.
         workers: Calls to workers.
         claim: The claim that won.
+        sequence: Sequence number of the claim's append.
         bounds: The platform's times.
         counters: Counts decisions.
     """
@@ -73,6 +74,7 @@
         log_port: Log,
         workers: Workers,
         claim: OwnerClaim,
+        sequence: int,
         bounds: Bounds,
         counters: Counters,
     ) -> None:
@@ -81,7 +83,9 @@
         self._claim = claim
         self._bounds = bounds
         self._counters = counters
-        self._recorder = Recorder(log_port=log_port, epoch=claim.epoch, counters=counters)
+        self._recorder = Recorder(
+            log_port=log_port, epoch=claim.epoch, sequence=sequence, counters=counters
+        )
         self._dispatcher = Dispatcher(
             now=time.monotonic(),
             bounds=bounds,
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -30,14 +30,15 @@
     Args:
         log_port: The platform's log.
         epoch: The owner's epoch.
+        sequence: Sequence number of the epoch's first append.
         counters: Counts retries.
     """
 
-    def __init__(self, *, log_port: Log, epoch: int, counters: Counters) -> None:
+    def __init__(self, *, log_port: Log, epoch: int, sequence: int, counters: Counters) -> None:
         self._log_port = log_port
         self._epoch = epoch
         self._counters = counters
-        self._sequence = 0
+        self._sequence = sequence
         self._confirmed_at = time.monotonic()
         self._pending_since: float | None = None
 
