--- a/packages/node/src/zinniaweir/node/candidacy.py
+++ b/packages/node/src/zinniaweir/node/candidacy.py
@@ -6,9 +6,9 @@
 
 from zinniaweir.workloads.records import OwnerClaim
 
-BEAT_SECONDS: Final = 0.5
+BEAT_SECONDS: Final = 0.3
 """How often an owner renews its claim."""
-SILENCE_SECONDS: Final = 1.6
+SILENCE_SECONDS: Final = 1.2
 """An owner that renewed nothing on a readable log for this long is replaced."""
 GAP_SECONDS: Final = 1.0
 """A longer gap between good reads is an outage: the owner gets its time anew."""
@@ -21,10 +21,14 @@
     every owner, replaces none.
 
     Args:
+        vm: Name of this VM; a claim of an earlier process on it is vacant at once.
+        incarnation: Identifies this process.
         delay: Seconds that this VM waits longer than the quickest, so that few claim at once.
     """
 
-    def __init__(self, *, delay: float) -> None:
+    def __init__(self, *, vm: str, incarnation: str, delay: float) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
         self._delay = delay
         self._seen: tuple[int, int, bool] | None = None
         self._quiet_since: float | None = None
@@ -51,6 +55,8 @@
         """
         if self._quiet_since is None:
             return False
+        if claim is not None and claim.vm == self._vm and claim.incarnation != self._incarnation:
+            return True
         quiet = fresh_at - self._quiet_since
         vacant = claim is None or claim.released
         return quiet >= self._delay + (0.0 if vacant else SILENCE_SECONDS)
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -67,7 +67,11 @@
         self._incarnation = secrets.token_hex(8)
         self._view = View(log_port=log_port, decoder=decoder, counters=counters)
         self._service = Service(view=self._view, log_port=log_port, counters=counters)
-        self._candidacy = Candidacy(delay=random.uniform(0.0, CLAIM_SPREAD_SECONDS))
+        self._candidacy = Candidacy(
+            vm=vm,
+            incarnation=self._incarnation,
+            delay=random.uniform(0.0, CLAIM_SPREAD_SECONDS),
+        )
         self._owner: Owner | None = None
         self._ended_epoch = 0
         self._sequence = 0
--- a/packages/node/src/zinniaweir/node/ports.py
+++ b/packages/node/src/zinniaweir/node/ports.py
@@ -94,9 +94,21 @@
         """Return records from an offset on; wait for one if there is none."""
 
     async def append(
-        self, records: list[KeyedRecord], *, at: int | None = None, fence: Fence | None = None
+        self,
+        records: list[KeyedRecord],
+        *,
+        at: int | None = None,
+        fence: Fence | None = None,
+        patience_seconds: float | None = None,
     ) -> int:
-        """Append records to the jobs' stream as a whole and return the first one's offset."""
+        """Append records to the jobs' stream as a whole and return the first one's offset.
+
+        Args:
+            records: The records.
+            at: Append only if the stream ends here.
+            fence: Marks an owner's append.
+            patience_seconds: Time for the answer, the adapter's own by default.
+        """
 
 
 class Workers(Protocol):
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -36,7 +36,9 @@
 """How long an append that the log rejects is repeated; another VM may reach the log."""
 ANSWER_MARGIN_SECONDS: Final = 0.25
 """An answer is sent this long before the caller stops waiting."""
-RETRY_SECONDS: Final = 0.1
+RETRY_SECONDS: Final = 0.05
+FIRST_PATIENCE_SECONDS: Final = 0.4
+"""Time for the first answer of the log; it doubles with each one that is lost."""
 
 
 class Service:
@@ -155,13 +157,15 @@
         until = by - ANSWER_MARGIN_SECONDS
         refuse_at = min(until, time.monotonic() + REFUSE_SECONDS)
         unknown = False
+        patience = FIRST_PATIENCE_SECONDS
         while True:
             try:
                 async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
-                    await self._log_port.append([record])
+                    await self._log_port.append([record], patience_seconds=patience)
                 return Accepted()
             except (NoAnswerError, TimeoutError):
                 unknown = True
+                patience *= 2
                 self._counters.add("append_retries", reason="no_answer")
             except NothingDoneError:
                 self._counters.add("append_retries", reason="nothing_done")
