dispatch: urgent work preempts beyond its guarantee; racks are kept whole

Change: such a gang stops other work if less core-seconds are lost than it takes itself; the eviction is searched rack by rack with the cost of whole gangs; small work fills the fullest rack first; late urgent work goes before work with time to spare.

--- a/packages/dispatch/src/zinniaweir/dispatch/ordering.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/ordering.py
@@ -13,13 +13,20 @@
 """What an order, its record and its end cost beside the work."""
 
 
+URGENT_PRIORITY: Final = 0
+"""Callers of this priority wait for the answer."""
+TIGHT_SECONDS: Final = 4.0
+"""Work that must start within this long to be in time goes before late urgent work."""
+
+
 class Rank(NamedTuple):
     """Sort key; lower goes first."""
 
+    place: int
+    """Urgent in time, then what gets tight, late urgent work, all else in time, late, useless."""
+    latest_start: float
     tier: int
     """0 in time, 1 late but still of use, 2 of no use."""
-    priority: int
-    latest_start: float
 
 
 def longest_chain(job: OwnedJob, run_times: RunTimes, *, remaining: bool) -> float:
@@ -58,5 +65,13 @@
     for tier, factor in enumerate((1.0, LATE_FACTOR)):
         latest_start = job.accepted_at + factor * span - needed
         if now <= latest_start:
-            return Rank(tier, job.terms.priority, latest_start)
-    return Rank(2, job.terms.priority, job.accepted_at)
+            return Rank(_place(job, tier, latest_start - now), latest_start, tier)
+    return Rank(5, job.accepted_at, 2)
+
+
+def _place(job: OwnedJob, tier: int, spare: float) -> int:
+    if job.terms.priority == URGENT_PRIORITY:
+        return 0 if tier == 0 else 2
+    if tier > 0:
+        return 4
+    return 1 if spare < TIGHT_SECONDS else 3
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -8,7 +8,6 @@
 
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.units import Unit
-from zinniaweir.workloads.spec import StepSpec
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -69,8 +68,16 @@
     Returns:
         One worker for each index of the unit, None if there is no room.
     """
+    racks: dict[str, int] = defaultdict(int)
+    workers = list(workers)
+    for worker in workers:
+        racks[worker.entry.rack] += worker.used_accelerators
     candidates = [
-        Candidate(worker=worker, count=count, cost=_cost(unit, worker, suspicion(worker.name)))
+        Candidate(
+            worker=worker,
+            count=count,
+            cost=_cost(unit, worker, suspicion(worker.name), racks[worker.entry.rack]),
+        )
         for worker in workers
         if (count := room(unit, worker)) > 0
     ]
@@ -91,12 +98,12 @@
     return max(totals.values(), default=0)
 
 
-def _cost(unit: Unit, worker: Worker, suspicion: int) -> tuple[float, ...]:
-    step: StepSpec = unit.step
+def _cost(unit: Unit, worker: Worker, suspicion: int, rack_used: int) -> tuple[float, ...]:
+    step = unit.step
     away = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
     memory_left = worker.entry.memory_mb - worker.used_memory - step.memory_mb
-    return (float(suspicion), float(away), float(left), float(memory_left))
+    return (float(suspicion), float(away), float(left), -float(rack_used), float(memory_left))
 
 
 def _within_a_rack(candidates: Sequence[Candidate], needed: int) -> list[Worker] | None:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -11,7 +11,7 @@
 from zinniaweir.dispatch.health import Health
 from zinniaweir.dispatch.ordering import Rank, rank
 from zinniaweir.dispatch.placement import allowed_on, choose, fewest_racks, room_for
-from zinniaweir.dispatch.preemption import choose_victims
+from zinniaweir.dispatch.preemption import choose_eviction, unit_cores
 from zinniaweir.dispatch.reserving import BACKFILL_MARGIN, Reservation, reserve
 from zinniaweir.dispatch.runtimes import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
@@ -24,6 +24,9 @@
 """Units that room is kept for at one time; more would leave too much idle."""
 PREEMPTION_SECONDS: Final = 1.2
 """How long stopped work may take to leave before more is stopped; a stop takes 0.9 s at most."""
+PREEMPTION_RATIO: Final = 1.0
+"""Urgent work beyond a guarantee stops other work only if no more core-seconds are lost than it
+takes itself."""
 STOPPING_SECONDS: Final = 0.6
 """Expected time until a stopped task has left."""
 LARGE_SHARE: Final = 0.5
@@ -176,8 +179,8 @@
             self._place(unit, chosen)
             return
         self._full.add(shape)
-        if covered and unit.job.terms.priority == GUARANTEED_PRIORITY:
-            self._make_room(unit, workers, spread)
+        if unit.job.terms.priority == GUARANTEED_PRIORITY:
+            self._make_room(unit, found, workers, spread=spread, covered=covered)
         self._keep_room(unit, found, spread)
 
     def _workers_for(self, unit: Unit) -> list[Worker]:
@@ -207,25 +210,33 @@
         allowed = [w for w in self._all if allowed_on(unit, w) and not w.entry.draining]
         return fewest_racks(allowed, unit) < len(unit.indexes)
 
-    def _make_room(self, unit: Unit, workers: Sequence[Worker], spread: bool) -> None:
+    def _make_room(
+        self, unit: Unit, found: Rank, workers: Sequence[Worker], *, spread: bool, covered: bool
+    ) -> None:
         now, planner = self._now, self._planner
         if unit.room_asked_at is not None and now - unit.room_asked_at < PREEMPTION_SECONDS:
             return
-        victims = choose_victims(
-            unit, workers, now=now, spread_allowed=spread, claimed=lambda _: False
-        )
-        if not victims:
+        if not covered and found.tier > 0:
+            return
+        eviction = choose_eviction(unit, workers, now=now, spread_allowed=spread)
+        if eviction is None:
+            return
+        expected = planner._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
+        if not covered and eviction.lost > PREEMPTION_RATIO * unit_cores(unit) * expected:
             return
         unit.room_asked_at = now
-        planner.claim_room(unit, {v.worker for v in victims}, until=now + 2 * PREEMPTION_SECONDS)
-        for victim in {seat.unit for seat in victims}:
-            planner._count("preemptions", "guarantee")
+        planner.claim_room(unit, eviction.workers, until=now + 2 * PREEMPTION_SECONDS)
+        reason = "guarantee" if covered else "urgent"
+        for victim in eviction.units:
+            planner._count("preemptions", reason)
             planner._log(
                 "unit_preempted",
                 job_id=victim.job.job_id,
                 step=victim.step_number,
                 run=victim.run,
                 for_job=unit.job.job_id,
+                reason=reason,
+                lost_core_seconds=round(eviction.lost, 1),
             )
             self._stop(victim, "preempted")
 
--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -1,119 +1,147 @@
-"""Which running work is stopped, so that a guaranteed unit gets its room in time."""
+"""Which running work is stopped, so that an urgent unit gets its room in time."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from zinniaweir.dispatch.fleet import Worker, fit_count
-from zinniaweir.dispatch.placement import allowed_on, choose, room_for
+from zinniaweir.dispatch.placement import allowed_on, tasks_of_step_on
 from zinniaweir.dispatch.units import Assignment, Unit
 
 ACCELERATOR_CORES: Final = 8
 """Work thrown away is counted in core-seconds, and an accelerator counts as this many cores."""
+UNSAVED_SECONDS: Final = 1.0
+"""Work of a checkpointing task that is lost on average, half of the time between checkpoints."""
 
 
-def lost_work(victims: Iterable[Assignment], *, now: float) -> float:
-    """Return the core-seconds that are thrown away when the units of these seats are stopped.
+@dataclass(frozen=True, kw_only=True)
+class Eviction:
+    """Units that make way, and where they do."""
 
-    A gang is lost as a whole; of checkpointing work only the newest stretch is lost.
-    """
+    units: frozenset[Unit]
+    workers: tuple[str, ...]
+    lost: float
+    """Core-seconds that are thrown away."""
+
+
+def unit_cores(unit: Unit) -> float:
+    """Return the cores that all tasks of a unit take, accelerators counted in."""
+    step = unit.step
+    return len(unit.indexes) * (step.cpu_millis / 1e3 + ACCELERATOR_CORES * step.accelerators)
+
+
+def lost_work(unit: Unit, *, now: float) -> float:
+    """Return the core-seconds that are thrown away when a unit is stopped."""
+    seats = [seat for seat in unit.seats.values() if not seat.stop_reason]
+    each = unit_cores(unit) / len(unit.indexes)
     total = 0.0
-    for unit in {seat.unit for seat in victims}:
-        if unit.step.checkpointing:
+    for seat in seats:
+        if seat.started_at is None:
             continue
-        cores = unit.step.cpu_millis / 1e3 + ACCELERATOR_CORES * unit.step.accelerators
-        total += sum(
-            (now - seat.started_at) * cores
-            for seat in unit.seats.values()
-            if seat.started_at is not None
-        )
+        worked = now - seat.started_at
+        total += each * (min(worked, UNSAVED_SECONDS) if unit.step.checkpointing else worked)
     return total
 
 
-def victims_on(unit: Unit, worker: Worker, needed: int, *, now: float) -> list[Assignment] | None:
-    """Choose the seats to stop on a worker for a number of a unit's tasks.
+def choose_eviction(
+    unit: Unit, workers: Sequence[Worker], *, now: float, spread_allowed: bool
+) -> Eviction | None:
+    """Choose what to stop so that a unit can be placed, with the least work lost.
 
     Args:
         unit: The unit that needs room.
-        worker: The worker.
-        needed: Tasks to make room for.
+        workers: Workers that may be used.
         now: Present time in seconds.
+        spread_allowed: Whether a rack-local gang may use several racks.
 
     Returns:
-        The seats, None if work of its own priority or above is in the way.
+        What to stop, None if stopping less urgent work does not help.
+    """
+    usable = [w for w in workers if allowed_on(unit, w)]
+    groups: dict[str, list[Worker]] = defaultdict(list)
+    one_rack = unit.step.rack_local and len(unit.indexes) > 1 and not spread_allowed
+    for worker in usable:
+        groups[worker.entry.rack if one_rack else ""].append(worker)
+    found = [e for group in groups.values() if (e := _evict_in(unit, group, now)) is not None]
+    return min(found, key=lambda e: e.lost, default=None)
+
+
+def _evict_in(unit: Unit, workers: Sequence[Worker], now: float) -> Eviction | None:
+    """Take workers one by one, each time the one that costs least for a task.
+
+    A gang that was stopped for one worker frees its others at no further cost.
     """
-    lower = [s for s in worker.seats.values() if _may_stop(s, unit)]
-    lower.sort(key=lambda s: (not s.stop_reason, lost_work([s], now=now)))
-    entry, step = worker.entry, unit.step
+    needed = len(unit.indexes)
+    evicted: set[Unit] = set()
+    chosen: list[str] = []
+    left = list(workers)
+    lost = 0.0
+    while needed > 0:
+        options = [o for w in left if (o := _option(unit, w, needed, evicted, now)) is not None]
+        if not options:
+            return None
+        best = min(options, key=lambda o: (o.lost / o.count, -o.count, o.worker.name))
+        evicted |= best.units
+        lost += best.lost
+        needed -= best.count
+        chosen.append(best.worker.name)
+        left.remove(best.worker)
+    return Eviction(units=frozenset(evicted), workers=tuple(chosen), lost=lost)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Option:
+    worker: Worker
+    count: int
+    units: frozenset[Unit]
+    lost: float
+
+
+def _option(
+    unit: Unit, worker: Worker, needed: int, evicted: set[Unit], now: float
+) -> _Option | None:
+    """Return the cheapest way to fit some tasks of a unit on a worker."""
+    step, entry = unit.step, worker.entry
+    most = needed
+    if step.max_per_worker:
+        most = min(most, step.max_per_worker - tasks_of_step_on(unit, worker))
     cpu = entry.cpu_millis - worker.used_cpu
     memory = entry.memory_mb - worker.used_memory
     accelerators = entry.accelerators - worker.used_accelerators
-    chosen: list[Assignment] = []
+    lower = [s for s in worker.seats.values() if _may_stop(s, unit, evicted)]
+    lower.sort(key=lambda s: _price(s, evicted, now))
+    units: set[Unit] = set()
+    best: _Option | None = None
     for seat in [None, *lower]:
         if seat is not None:
-            chosen.append(seat)
+            units.add(seat.unit)
             cpu += seat.unit.step.cpu_millis
             memory += seat.unit.step.memory_mb
             accelerators += seat.unit.step.accelerators
-        if fit_count(step, cpu=cpu, memory=memory, accelerators=accelerators) >= needed:
-            return chosen
-    return None
-
-
-def choose_victims(
-    unit: Unit,
-    workers: Sequence[Worker],
-    *,
-    now: float,
-    spread_allowed: bool,
-    claimed: Callable[[Worker], bool],
-) -> list[Assignment] | None:
-    """Choose what to stop so that a unit can be placed.
-
-    Args:
-        unit: The unit.
-        workers: Workers that may be used.
-        now: Present time in seconds.
-        spread_allowed: Whether a rack-local gang may use several racks.
-        claimed: Whether room on a worker is being made for another unit.
-
-    Returns:
-        The seats to stop, None if stopping lower work does not help.
-    """
-    usable = [w for w in workers if allowed_on(unit, w) and not claimed(w)]
-    most = {w.name: _most_tasks(unit, w, now) for w in usable}
-
-    def price(worker: Worker) -> tuple[float, str]:
-        seats = victims_on(unit, worker, max(most[worker.name], 1), now=now) or []
-        return lost_work(seats, now=now), worker.name
-
-    usable.sort(key=price)
-    chosen = choose(
-        unit,
-        usable,
-        room=lambda _, w: most[w.name],
-        suspicion=lambda name: _position(usable, name),
-        spread_allowed=spread_allowed,
-    )
-    if chosen is None:
-        return None
-    victims: list[Assignment] = []
-    for worker in {w.name: w for w in chosen}.values():
-        victims += victims_on(unit, worker, chosen.count(worker), now=now) or []
-    return victims
-
-
-def _may_stop(seat: Assignment, unit: Unit) -> bool:
-    return bool(seat.stop_reason) or seat.unit.job.terms.priority > unit.job.terms.priority
-
-
-def _most_tasks(unit: Unit, worker: Worker, now: float) -> int:
-    most = room_for(unit, worker)
-    while most < len(unit.indexes) and victims_on(unit, worker, most + 1, now=now) is not None:
-        most += 1
-    return most
-
-
-def _position(workers: Sequence[Worker], name: str) -> int:
-    return next(n for n, worker in enumerate(workers) if worker.name == name)
+        fits = fit_count(step, cpu=cpu, memory=memory, accelerators=accelerators)
+        count = min(most, fits)
+        if count <= 0:
+            continue
+        fresh = units - evicted
+        lost = sum(lost_work(u, now=now) for u in fresh)
+        option = _Option(worker=worker, count=count, units=frozenset(fresh), lost=lost)
+        if best is None or lost / count < best.lost / best.count:
+            best = option
+        if count == most:
+            break
+    return best
+
+
+def _may_stop(seat: Assignment, unit: Unit, evicted: Iterable[Unit]) -> bool:
+    if seat.stop_reason or seat.unit in evicted:
+        return True
+    return seat.unit.job.terms.priority > unit.job.terms.priority
+
+
+def _price(seat: Assignment, evicted: set[Unit], now: float) -> float:
+    if seat.stop_reason or seat.unit in evicted:
+        return 0.0
+    return lost_work(seat.unit, now=now)
