--- /dev/null
+++ b/packages/dispatch/tests/conftest.py
@@ -0,0 +1,195 @@
+"""A small set of workers that carry out a dispatcher's orders in a test's own time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from zinniaweir.dispatch.dispatcher import Bounds, Dispatcher
+from zinniaweir.dispatch.messages import (
+    End,
+    EndRow,
+    Listing,
+    RunningRow,
+    StartAnswer,
+    TaskId,
+    WorkerEntry,
+)
+from zinniaweir.dispatch.units import Assignment
+from zinniaweir.workloads.book import JobEntry
+from zinniaweir.workloads.queues import Configuration, Customer, QueueTerms
+from zinniaweir.workloads.records import Submission
+from zinniaweir.workloads.spec import JobSpec, StepSpec
+
+TICK = 0.1
+
+
+def worker_entry(name: str = "w1", **changes: Any) -> WorkerEntry:
+    fields: dict[str, Any] = {
+        "worker": name,
+        "service": "rendering",
+        "address": f"{name}:1",
+        "failure_domain": "diliman",
+        "rack": "r1-1",
+        "labels": frozenset({"a", "r1-1"}),
+        "life": 1,
+        "draining": False,
+        "cpu_millis": 64_000,
+        "memory_mb": 262_144,
+        "accelerators": 8,
+    }
+    return WorkerEntry(**(fields | changes))
+
+
+def terms(name: str = "traces", **changes: Any) -> QueueTerms:
+    fields: dict[str, Any] = {
+        "name": name,
+        "service": "rendering",
+        "priority": 1,
+        "max_attempts": 2,
+        "slack_factor": 3.0,
+        "target_seconds": 1.0,
+    }
+    return QueueTerms(**(fields | changes))
+
+
+def job(job_id: str, *steps: StepSpec, customer: str = "parish", **queue: Any) -> JobEntry:
+    submission = Submission(
+        job_id=job_id,
+        customer=customer,
+        terms=terms(**queue),
+        spec=JobSpec(payload="x", steps=steps or (StepSpec(count=1, accelerators=1),)),
+        accepted_at=0.0,
+    )
+    return JobEntry(submission=submission)
+
+
+@dataclass
+class FakeRun:
+    seat: Assignment
+    ends_at: float
+
+
+@dataclass
+class FakeWorker:
+    entry: WorkerEntry
+    runs: dict[tuple[TaskId, int], FakeRun] = field(default_factory=dict)
+    ended: list[EndRow] = field(default_factory=list)
+    number: int = 0
+    silent: bool = False
+    fails: bool = False
+
+    def end(self, key: tuple[TaskId, int], how: End, checkpoint: str = "") -> None:
+        del self.runs[key]
+        self.number += 1
+        self.ended.append(
+            EndRow(number=self.number, task=key[0], run=key[1], end=how, checkpoint=checkpoint)
+        )
+
+
+class World:
+    """Runs a dispatcher against fake workers."""
+
+    def __init__(self, *entries: WorkerEntry) -> None:
+        self.now = 100.0
+        self.events: list[tuple[str, dict[str, Any]]] = []
+        self.counts: list[tuple[str, str]] = []
+        self.workers = {entry.worker: FakeWorker(entry) for entry in entries}
+        self.durations: dict[str, float] = {}
+        self.records: list[Any] = []
+        self.seconds = 2.0
+        self.dispatcher = self.new_dispatcher()
+
+    def new_dispatcher(self) -> Dispatcher:
+        return Dispatcher(
+            now=self.now,
+            bounds=Bounds(),
+            log=lambda event, **fields: self.events.append((event, fields)),
+            count=lambda name, reason: self.counts.append((name, reason)),
+        )
+
+    def configure(self, *customers: Customer, evacuated: frozenset[str] = frozenset()) -> None:
+        self.dispatcher.configure(Configuration(version=1, customers=customers), evacuated)
+
+    def add(self, entry: JobEntry, *, age: float = 0.0) -> None:
+        self.dispatcher.add(entry, now=self.now, age=age)
+
+    def look(self) -> None:
+        for worker in list(self.dispatcher.fleet):
+            fake = self.workers.get(worker.name)
+            if fake is None or fake.silent:
+                continue
+            until = int(self.now * 1e3) + 6000
+            worker.lease_until_ms = max(worker.lease_until_ms, until)
+            fake.ended = [row for row in fake.ended if row.number > worker.noted]
+            running = tuple(
+                RunningRow(task=task, run=run, checkpoint="", percent=0) for task, run in fake.runs
+            )
+            listing = Listing(
+                life=fake.entry.life,
+                clock_ms=int(self.now * 1e3),
+                running=running,
+                ended=tuple(fake.ended),
+            )
+            self.dispatcher.listing(worker, listing, asked_at=self.now, now=self.now + 0.001)
+
+    def start(self, seat: Assignment) -> None:
+        if not self.dispatcher.start_sent(seat, now=self.now):
+            return
+        fake = self.workers[seat.worker]
+        if fake.silent:
+            self.dispatcher.start_answered(seat, StartAnswer.UNKNOWN, now=self.now)
+            return
+        seconds = self.durations.get(seat.task.job_id, self.seconds)
+        fake.runs[seat.task, seat.run] = FakeRun(seat, self.now + seconds)
+        self.dispatcher.start_answered(seat, StartAnswer.STARTED, now=self.now)
+
+    def write(self) -> None:
+        changes = self.dispatcher.take_changes(now=self.now)
+        self.records += changes.progress
+        self.dispatcher.recorded(changes)
+
+    def step(self) -> None:
+        self.now += TICK
+        self.dispatcher.update_workers([f.entry for f in self.workers.values()], now=self.now)
+        self.dispatcher.confirm_view(self.now)
+        for fake in self.workers.values():
+            for key, run in list(fake.runs.items()):
+                if self.now >= run.ends_at:
+                    fake.end(key, End.FAILED if fake.fails else End.DONE)
+        self.look()
+        self.dispatcher.plan(now=self.now)
+        self.write()
+        for seat in list(self.dispatcher.seats_to_start(now=self.now, again_after=0.3)):
+            self.start(seat)
+        for seat in list(self.dispatcher.seats_to_stop(now=self.now, again_after=0.7)):
+            self.dispatcher.stop_sent(seat, now=self.now)
+            fake = self.workers[seat.worker]
+            if fake.silent:
+                self.dispatcher.stop_answered(seat, acknowledged=False, now=self.now)
+                continue
+            if (seat.task, seat.run) in fake.runs:
+                fake.end((seat.task, seat.run), End.STOPPED)
+            self.dispatcher.stop_answered(seat, acknowledged=True, now=self.now)
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+
+    def state(self, job_id: str) -> str:
+        return str(self.dispatcher.jobs[job_id].state)
+
+    def names(self) -> list[str]:
+        return [event for event, _ in self.events]
+
+    def seats(self, job_id: str) -> Iterator[Assignment]:
+        return self.dispatcher.jobs[job_id].seats
+
+
+@pytest.fixture
+def world() -> World:
+    return World(*(worker_entry(f"w{n}") for n in range(1, 5)))
--- /dev/null
+++ b/packages/dispatch/tests/test_clock.py
@@ -0,0 +1,30 @@
+"""Tests of the bounds on a worker's clock."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from zinniaweir.dispatch.clock import WorkerClock
+
+seconds = st.floats(min_value=0.0, max_value=5.0)
+
+
+@given(
+    rate=st.floats(min_value=0.98, max_value=1.0),
+    steps=st.lists(st.tuples(seconds, seconds, seconds), min_size=1, max_size=10),
+    later=seconds,
+)
+def test_the_bounds_hold_whatever_the_delays(
+    rate: float, steps: list[tuple[float, float, float]], later: float
+) -> None:
+    """Guards against a lease that is taken for lapsed while the worker still holds it."""
+    clock, now = WorkerClock(), 0.0
+    for pause, there, back in steps:
+        sent = now + pause
+        read = sent + there
+        now = read + back
+        clock.observe(int(read * rate * 1e3), sent_at=sent, received_at=now)
+    at = now + later
+    assert clock.earliest(at) <= at * rate * 1e3 + 1e-6
+    assert clock.latest(at) >= at * rate * 1e3 - 1.0 - 1e-6
--- /dev/null
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,205 @@
+"""Tests of the owner's state: starts, ends, lost workers and takeover."""
+
+from __future__ import annotations
+
+from zinniaweir.dispatch.messages import End, StartAnswer
+from zinniaweir.dispatch.units import OwnedJob
+from zinniaweir.workloads.book import JobEntry
+from zinniaweir.workloads.spec import StepSpec
+
+from .conftest import World, job, worker_entry
+
+
+def test_a_job_runs_through_its_steps_in_order(world: World) -> None:
+    """Guards against a step that starts before an earlier one is done."""
+    steps = (StepSpec(count=2, accelerators=1), StepSpec(count=1, depends_on=(0,)))
+    world.add(job("j1", *steps))
+    world.run(1.0)
+    assert {seat.task.step for seat in world.seats("j1")} == {0}
+    world.run(2.0)
+    assert {seat.task.step for seat in world.seats("j1")} == {1}
+    world.run(3.0)
+    assert world.state("j1") == "complete"
+
+
+def test_nothing_is_ordered_before_it_is_on_the_log(world: World) -> None:
+    """Guards against a run that a successor of the owner does not know."""
+    world.add(job("j1"))
+    world.step()
+    world.add(job("j2"))
+    world.dispatcher.plan(now=world.now)
+    waiting = [s.task.job_id for s in world.dispatcher.seats_to_start(now=world.now, again_after=0)]
+    assert "j2" not in waiting
+    world.write()
+    waiting = [s.task.job_id for s in world.dispatcher.seats_to_start(now=world.now, again_after=0)]
+    assert "j2" in waiting
+
+
+def test_an_end_is_noted_only_after_it_is_on_the_log(world: World) -> None:
+    """Guards against an end that only the dead owner knew, after which the task runs again."""
+    world.add(job("j1"))
+    world.run(0.5)
+    (seat,) = world.seats("j1")
+    fake = world.workers[seat.worker]
+    fake.end((seat.task, seat.run), End.DONE)
+    world.look()
+    worker = world.dispatcher.fleet.get(seat.worker)
+    assert worker is not None
+    assert worker.noted == 0
+    world.write()
+    assert worker.noted == 1
+
+
+def test_a_start_without_an_answer_takes_room_until_its_deadline_has_passed(world: World) -> None:
+    """Guards against a task that starts twice since its first order was carried out late."""
+    world.add(job("j1"))
+    world.step()
+    for fake in world.workers.values():
+        fake.silent = True
+    world.add(job("j2"))
+    world.run(0.3)
+    (seat,) = world.seats("j2")
+    assert seat.run == 1
+    for fake in world.workers.values():
+        fake.silent = False
+    world.dispatcher.start_answered(seat, StartAnswer.UNKNOWN, now=world.now)
+    world.look()
+    assert list(world.seats("j2")) == [seat]
+
+
+def test_tasks_of_a_silent_worker_wait_for_the_end_of_its_lease() -> None:
+    """Guards against two runs of a task while a worker that is cut off still works."""
+    world = World(worker_entry("w1"))
+    world.seconds = 30.0
+    world.add(job("j1"))
+    world.run(0.5)
+    world.workers["w1"].silent = True
+    world.workers["w2"] = type(world.workers["w1"])(worker_entry("w2"))
+    world.run(5.5)
+    assert [seat.worker for seat in world.seats("j1")] == ["w1"]
+    world.run(2.0)
+    assert [(seat.worker, seat.run) for seat in world.seats("j1")] == [("w2", 2)]
+
+
+def test_tasks_of_a_worker_that_is_born_again_start_elsewhere_at_once(world: World) -> None:
+    """Guards against waiting for a life of a worker that is over."""
+    world.seconds = 30.0
+    world.add(job("j1"))
+    world.run(0.5)
+    (seat,) = world.seats("j1")
+    fake = world.workers[seat.worker]
+    fake.entry = worker_entry(seat.worker, life=2)
+    fake.runs.clear()
+    world.run(0.5)
+    (again,) = world.seats("j1")
+    assert again.run == 2
+
+
+def test_a_draining_worker_and_an_evacuated_domain_get_no_work(world: World) -> None:
+    """Guards against starts on a worker that leaves."""
+    for name in ("w1", "w2"):
+        world.workers[name].entry = worker_entry(name, draining=True)
+    world.workers["w3"].entry = worker_entry("w3", failure_domain="baguio")
+    world.configure(evacuated=frozenset({"baguio"}))
+    world.add(job("j1", StepSpec(count=8, accelerators=1)))
+    world.run(0.5)
+    assert {seat.worker for seat in world.seats("j1")} == {"w4"}
+
+
+def test_a_cancelled_job_stops_and_starts_nothing(world: World) -> None:
+    """Guards against tasks that go on after their job was cancelled."""
+    world.seconds = 30.0
+    world.add(job("j1", StepSpec(count=4, accelerators=8), StepSpec(count=1, depends_on=(0,))))
+    world.run(0.5)
+    world.dispatcher.cancel("j1", now=world.now)
+    world.run(0.5)
+    assert not list(world.seats("j1"))
+    assert world.state("j1") == "cancelled"
+    assert not any(fake.runs for fake in world.workers.values())
+
+
+def test_a_job_fails_after_its_attempts(world: World) -> None:
+    """Guards against a hopeless job that occupies workers for ever."""
+    for fake in world.workers.values():
+        fake.fails = True
+    world.add(job("j1", max_attempts=2))
+    world.run(8.0)
+    assert world.state("j1") == "failed"
+    assert world.dispatcher.jobs["j1"].units[0].failures == 2
+
+
+def test_several_members_that_fail_in_one_run_are_one_failure(world: World) -> None:
+    """Guards against a gang that is given up after one attempt."""
+    for fake in world.workers.values():
+        fake.fails = True
+    world.add(job("j1", StepSpec(count=4, accelerators=8, gang=True), max_attempts=3))
+    world.run(2.4)
+    assert world.dispatcher.jobs["j1"].units[0].failures == 1
+
+
+def test_a_successor_adopts_what_runs(world: World) -> None:
+    """Guards against a change of owner that throws running work away."""
+    world.seconds = 5.0
+    entry = job("j1", StepSpec(count=4, accelerators=8, gang=True))
+    world.add(entry)
+    world.run(1.0)
+    successor_entry = JobEntry(submission=entry.submission, progress=world.records[-1])
+    world.dispatcher = world.new_dispatcher()
+    world.add(successor_entry)
+    world.run(1.0)
+    assert all(seat.started and seat.run == 1 for seat in world.seats("j1"))
+    world.run(5.0)
+    assert world.state("j1") == "complete"
+
+
+def test_a_successor_starts_again_what_never_started(world: World) -> None:
+    """Guards against a seat of a former owner that is held for ever."""
+    entry = job("j1")
+    world.add(entry)
+    world.dispatcher.update_workers([f.entry for f in world.workers.values()], now=world.now)
+    world.dispatcher.confirm_view(world.now)
+    world.look()
+    world.dispatcher.plan(now=world.now)
+    world.write()
+    successor_entry = JobEntry(submission=entry.submission, progress=world.records[-1])
+    world.dispatcher = world.new_dispatcher()
+    world.add(successor_entry)
+    world.run(0.5)
+    assert [seat.run for seat in world.seats("j1")] == [2]
+
+
+def test_a_run_that_nobody_wants_is_named_for_a_stop(world: World) -> None:
+    """Guards against a late order of a former life that runs beside the wanted run."""
+    world.seconds = 30.0
+    world.add(job("j1"))
+    world.run(0.5)
+    (seat,) = world.seats("j1")
+    fake = world.workers["w4" if seat.worker != "w4" else "w3"]
+    fake.runs[seat.task, 7] = fake.runs.get((seat.task, 7)) or type(
+        next(iter(world.workers[seat.worker].runs.values()))
+    )(seat, world.now + 30)
+    world.look()
+    assert (fake.entry.worker, seat.task, 7) in world.dispatcher.take_strays()
+
+
+def test_an_ended_job_is_kept_and_then_dropped(world: World) -> None:
+    """Guards against records that pile up on the log."""
+    world.add(job("j1"))
+    world.run(4.0)
+    assert world.state("j1") == "complete"
+    ended_at = world.dispatcher.jobs["j1"].ended_at
+    assert ended_at is not None
+    changes = world.dispatcher.take_changes(now=ended_at + 179.0)
+    assert changes.dropped == []
+    changes = world.dispatcher.take_changes(now=ended_at + 181.0)
+    assert changes.dropped == ["j1"]
+
+
+def test_progress_round_trips(world: World) -> None:
+    """Guards against a successor that loses failures or run numbers."""
+    entry = job("j1", StepSpec(count=3, accelerators=1))
+    world.add(entry)
+    world.run(0.5)
+    progress = world.dispatcher.jobs["j1"].progress()
+    again = OwnedJob(JobEntry(submission=entry.submission, progress=progress), now=0.0)
+    assert again.progress() == progress
--- /dev/null
+++ b/packages/dispatch/tests/test_planning.py
@@ -0,0 +1,157 @@
+"""Tests of loads: who waits, who makes way and where work goes. Each names its pattern."""
+
+from __future__ import annotations
+
+from zinniaweir.dispatch.messages import StartAnswer
+from zinniaweir.workloads.queues import Customer
+from zinniaweir.workloads.spec import StepSpec
+
+from .conftest import World, job, worker_entry
+
+LARGE = StepSpec(count=1, cpu_millis=26_000, memory_mb=140_000, accelerators=8, estimate_ms=8_000)
+SMALL = StepSpec(count=1, cpu_millis=5_600, memory_mb=16_000, accelerators=1, estimate_ms=9_000)
+CHECK = {"name": "checks", "priority": 0, "slack_factor": 1.5, "target_seconds": 0.3}
+
+
+def racks(count: int, workers: int) -> list:
+    return [
+        worker_entry(f"r{r}w{w}", rack=f"r1-{r}", labels=frozenset({"a", f"r1-{r}"}))
+        for r in range(count)
+        for w in range(workers)
+    ]
+
+
+def gang(count: int, *, accelerators: int = 8, estimate_ms: int = 2_500) -> StepSpec:
+    return StepSpec(
+        count=count,
+        cpu_millis=7_500,
+        memory_mb=31_000,
+        accelerators=accelerators,
+        estimate_ms=estimate_ms,
+        gang=True,
+        rack_local=True,
+    )
+
+
+def test_burst_of_urgent_gangs_on_a_full_cluster_preempts_the_youngest_work() -> None:
+    """Guards against urgent callers that wait behind work with seconds to spare."""
+    world = World(*racks(2, 4))
+    world.seconds = 20.0
+    for n in range(8):
+        world.add(job(f"old{n}" if n < 4 else f"new{n}", LARGE))
+        world.run(0.2 if n != 3 else 6.0)
+    world.add(job("urgent", gang(4), **CHECK))
+    world.run(1.0)
+    assert len(list(world.seats("urgent"))) == 4
+    stopped = {f["job_id"] for e, f in world.events if e == "unit_preempted"}
+    assert stopped
+    assert all(name.startswith("new") for name in stopped)
+
+
+def test_urgent_work_beyond_its_guarantee_does_not_waste_more_than_it_takes() -> None:
+    """Guards against preemption that throws more work away than it serves."""
+    world = World(*racks(1, 2))
+    world.seconds = 60.0
+    for n in range(2):
+        world.add(job(f"old{n}", LARGE))
+    world.run(30.0)
+    world.add(job("urgent", gang(2, accelerators=1), **CHECK))
+    world.run(1.0)
+    assert "unit_preempted" not in world.names()
+
+
+def test_guaranteed_work_is_placed_whole_whatever_it_costs() -> None:
+    """Guards against a guarantee that is not given back when its customer asks."""
+    world = World(*racks(1, 4))
+    world.configure(Customer(name="parish", keys=frozenset(), guaranteed_accelerators=32))
+    world.seconds = 60.0
+    for n in range(4):
+        world.add(job(f"old{n}", LARGE, customer="other"))
+    world.run(30.0)
+    world.add(job("urgent", gang(4), **CHECK))
+    world.run(2.0)
+    assert len(list(world.seats("urgent"))) == 4
+
+
+def test_a_stream_of_small_tasks_does_not_starve_a_large_gang() -> None:
+    """Guards against a rack-wide gang that waits while small work fills each hole."""
+    world = World(*racks(1, 4))
+    world.seconds = 3.0
+    for n in range(24):
+        world.add(job(f"small{n}", SMALL))
+    world.run(0.5)
+    step = StepSpec(count=4, memory_mb=140_000, accelerators=8, gang=True, estimate_ms=3_000)
+    world.add(job("large", step, slack_factor=2.0))
+    for n in range(60):
+        world.add(job(f"later{n}", SMALL, slack_factor=9.0))
+        world.run(0.2)
+        if any(seat.started for seat in world.seats("large")):
+            break
+    assert any(seat.started for seat in world.seats("large"))
+
+
+def test_small_work_fills_one_rack_and_leaves_the_other_whole() -> None:
+    """Guards against fragmentation that leaves no rack for a gang."""
+    world = World(*racks(2, 4))
+    world.seconds = 30.0
+    for n in range(16):
+        world.add(job(f"small{n}", SMALL))
+        world.run(0.1)
+    used = {seat.worker[:2] for n in range(16) for seat in world.seats(f"small{n}")}
+    assert len(used) == 1
+
+
+def test_a_rack_local_gang_waits_for_its_rack_unless_none_is_large_enough() -> None:
+    """Guards against a gang that runs three times as long since it is spread."""
+    world = World(*racks(2, 2))
+    world.seconds = 5.0
+    world.add(job("blocker", LARGE))
+    world.run(0.2)
+    world.add(job("fits", gang(2)))
+    world.add(job("wide", gang(4), slack_factor=9.0))
+    world.run(0.5)
+    assert len({seat.worker[:2] for seat in world.seats("fits")}) == 1
+    world.run(12.0)
+    assert world.state("wide") in ("running", "complete")
+
+
+def test_a_worker_that_refuses_starts_is_avoided() -> None:
+    """Guards against starts that bounce off an unhealthy worker again and again."""
+    world = World(*racks(1, 2))
+    world.add(job("j1"))
+    world.dispatcher.update_workers([f.entry for f in world.workers.values()], now=world.now)
+    world.dispatcher.confirm_view(world.now)
+    world.look()
+    world.dispatcher.plan(now=world.now)
+    world.write()
+    (seat,) = world.seats("j1")
+    assert world.dispatcher.start_sent(seat, now=world.now)
+    world.dispatcher.start_answered(seat, StartAnswer.UNHEALTHY, now=world.now)
+    world.run(0.3)
+    (again,) = world.seats("j1")
+    assert again.worker != seat.worker
+
+
+def test_a_worker_that_fails_what_it_starts_is_told_from_a_bad_job() -> None:
+    """Guards against good jobs that use up their attempts on one bad worker."""
+    world = World(*racks(1, 4))
+    world.workers["r0w0"].fails = True
+    world.seconds = 0.5
+    for n in range(12):
+        world.add(job(f"j{n}", SMALL, max_attempts=2))
+        world.run(0.4)
+    world.run(3.0)
+    assert [world.state(f"j{n}") for n in range(12)] == ["complete"] * 12
+
+
+def test_no_plan_over_commits_a_worker_under_a_flood() -> None:
+    """Guards against more tasks on a worker than it has room for."""
+    world = World(*racks(2, 4))
+    world.seconds = 1.3
+    for n in range(60):
+        world.add(job(f"l{n}", LARGE if n % 3 else gang(3, accelerators=4), priority=n % 3))
+        world.run(0.1)
+        for worker in world.dispatcher.fleet:
+            assert worker.used_accelerators <= worker.entry.accelerators
+            assert worker.used_memory <= worker.entry.memory_mb
+            assert worker.used_cpu <= worker.entry.cpu_millis
