--- a/packages/node/src/zinniaweir/node/candidacy.py
+++ b/packages/node/src/zinniaweir/node/candidacy.py
@@ -55,8 +55,8 @@
         """
         if self._quiet_since is None:
             return False
-        if claim is not None and claim.vm == self._vm and claim.incarnation != self._incarnation:
+        if claim is None or claim.released:
             return True
-        quiet = fresh_at - self._quiet_since
-        vacant = claim is None or claim.released
-        return quiet >= self._delay + (0.0 if vacant else SILENCE_SECONDS)
+        if claim.vm == self._vm and claim.incarnation != self._incarnation:
+            return True
+        return fresh_at - self._quiet_since >= self._delay + SILENCE_SECONDS
--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -8,12 +8,20 @@
 from collections.abc import Callable
 from typing import Final
 
-from zinniaweir.node.ports import KeyedRecord, Log, LogError, Stream, TrimmedError
+from zinniaweir.node.patience import Patience
+from zinniaweir.node.ports import (
+    KeyedRecord,
+    Log,
+    LogError,
+    NoAnswerError,
+    Stream,
+    TrimmedError,
+)
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
 
 FIRST_BACKOFF_SECONDS: Final = 0.05
-LAST_BACKOFF_SECONDS: Final = 0.4
+LAST_BACKOFF_SECONDS: Final = 0.2
 """Longest pause between tries, so that the end of an outage is noticed at once."""
 LOST_AFTER_SECONDS: Final = 1.0
 """A dependency without a good answer for this long is logged as lost."""
@@ -55,6 +63,7 @@
         self._fresh_at = float("-inf")
         self._lost = False
         self._loaded = asyncio.Event()
+        self._patience = Patience()
         self.on_fresh: Callable[[float, float], None] = lambda _since, _at: None
         """Called after each good read with the previous and the present freshness."""
 
@@ -103,7 +112,7 @@
         if self._next is None:
             await self._load()
         else:
-            await self._read(self._wait_seconds)
+            await self._read(self._wait_seconds if self._patience.calm else 0.0)
 
     async def _load(self) -> None:
         sent_at = time.monotonic()
@@ -127,7 +136,15 @@
             return
         sent_at = time.monotonic()
         try:
-            tail = await self._log_port.read(self._stream, start, wait_seconds=wait_seconds)
+            tail = await self._log_port.read(
+                self._stream,
+                start,
+                wait_seconds=wait_seconds,
+                patience_seconds=self._patience.seconds,
+            )
+        except NoAnswerError:
+            self._patience.unanswered()
+            raise
         except TrimmedError:
             log("stream_gap", stream=self._stream, offset=start)
             self._next = None
@@ -141,6 +158,7 @@
     def _good(self, sent_at: float) -> None:
         since = self._fresh_at
         self._fresh_at = max(since, sent_at)
+        self._patience.answered()
         if self._lost:
             self._lost = False
             log("dependency_regained", dependency=f"log/{self._stream}", offset=self._next)
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -29,8 +29,8 @@
 
 CLAIM_SPREAD_SECONDS: Final = 0.3
 """VMs that see an owner silent claim at different times within this."""
-CLAIM_PAUSE_SECONDS: Final = 0.2
-"""Pause after a claim that did not win."""
+CLAIM_PAUSE_SECONDS: Final = 0.1
+"""Longest pause before a claim, so that few VMs claim at once, and pause after one that failed."""
 SEQUENCES: Final = 2**31
 """Range of the sequence numbers that an epoch may begin with."""
 RELEASE_SECONDS: Final = 1.5
@@ -143,7 +143,9 @@
             if self._mine(claim):
                 await self._own(claim)
             elif self._candidacy.should_claim(claim, fresh_at=self._view.jobs.fresh_at):
-                await self._try_claim(claim)
+                await asyncio.sleep(random.uniform(0.0, CLAIM_PAUSE_SECONDS))
+                if self._view.book.claim is claim and not self._stopping:
+                    await self._try_claim(claim)
 
     def _mine(self, claim: OwnerClaim | None) -> bool:
         return (
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -301,7 +301,8 @@
         while True:
             changes = self._dispatcher.take_changes(now=time.monotonic())
             records = self._records_of(changes)
-            if not changes.empty or time.monotonic() >= beat_at or self._releasing:
+            last = self._releasing
+            if not changes.empty or time.monotonic() >= beat_at or last:
                 beat_at = time.monotonic() + BEAT_SECONDS
                 records.append(self._beat())
                 try:
@@ -312,9 +313,11 @@
                     self._superseded.set()
                     return
             self._after_record(changes)
-            if self._releasing:
+            if last:
                 self._superseded.set()
                 return
+            if self._releasing:
+                continue
             self._record_wake.clear()
             try:
                 async with asyncio.timeout(max(beat_at - time.monotonic(), 0.0)):
--- a/packages/node/src/zinniaweir/node/ports.py
+++ b/packages/node/src/zinniaweir/node/ports.py
@@ -90,8 +90,17 @@
     async def newest(self, stream: Stream, *, after: str = "") -> Page:
         """Return a page of the newest record of each key."""
 
-    async def read(self, stream: Stream, start: int, *, wait_seconds: float) -> Tail:
-        """Return records from an offset on; wait for one if there is none."""
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, patience_seconds: float
+    ) -> Tail:
+        """Return records from an offset on; wait for one if there is none.
+
+        Args:
+            stream: The stream.
+            start: The first offset.
+            wait_seconds: How long the log waits for a record.
+            patience_seconds: Time for the answer beyond that.
+        """
 
     async def append(
         self,
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final
 
+from zinniaweir.node.patience import Patience
 from zinniaweir.node.ports import (
     Fence,
     KeyedRecord,
@@ -20,10 +21,6 @@
 """Records of one append; the platform takes twice as much."""
 RETRY_SECONDS: Final = 0.1
 """Pause before an append that the log rejected is repeated."""
-FIRST_PATIENCE_SECONDS: Final = 0.4
-"""Time for the first answer, some ten times the usual; a lost one must not cost the ownership."""
-LAST_PATIENCE_SECONDS: Final = 1.6
-"""The time doubles with each lost answer up to this, so that a slow log can still answer."""
 SLOW_SECONDS: Final = 1.0
 """An append that takes longer is logged."""
 
@@ -69,20 +66,22 @@
     async def _write_call(self, records: list[KeyedRecord], fence: Fence) -> None:
         self._pending_since = started = time.monotonic()
         slow = False
-        patience = FIRST_PATIENCE_SECONDS
+        patience = Patience()
         try:
             while True:
                 sent_at = time.monotonic()
                 try:
-                    await self._log_port.append(records, fence=fence, patience_seconds=patience)
+                    await self._log_port.append(
+                        records, fence=fence, patience_seconds=patience.seconds
+                    )
                 except (NothingDoneError, NoAnswerError) as error:
                     self._counters.add("owner_append_retries", reason=type(error).__name__)
-                    lost = isinstance(error, NoAnswerError)
-                    patience = min(patience * 2, LAST_PATIENCE_SECONDS) if lost else patience
+                    if isinstance(error, NoAnswerError):
+                        patience.unanswered()
                     if not slow and sent_at - started > SLOW_SECONDS:
                         slow = True
                         log("owner_append_delayed", sequence=fence.sequence, error=str(error))
-                    if not lost:
+                    if isinstance(error, NothingDoneError):
                         await asyncio.sleep(RETRY_SECONDS)
                     continue
                 self._confirmed_at = sent_at
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -15,6 +15,7 @@
     StateOf,
     UnknownJob,
 )
+from zinniaweir.node.patience import Patience
 from zinniaweir.node.ports import KeyedRecord, Log, LogError, NoAnswerError, NothingDoneError
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
@@ -37,8 +38,13 @@
 ANSWER_MARGIN_SECONDS: Final = 0.25
 """An answer is sent this long before the caller stops waiting."""
 RETRY_SECONDS: Final = 0.05
-FIRST_PATIENCE_SECONDS: Final = 0.4
-"""Time for the first answer of the log; it doubles with each one that is lost."""
+SUSPECT_SECONDS: Final = 0.9
+"""With an older view the log is asked by a read first: a read without an answer leaves nothing
+behind, so that the refusal that follows is certain."""
+LONG_OUTAGE_SECONDS: Final = 2.0
+"""After this much of an outage callers are asked to come back later, as they try a few times."""
+SOON_SECONDS: Final = 1
+LATER_SECONDS: Final = 2
 
 
 class Service:
@@ -154,18 +160,23 @@
         self, record: KeyedRecord, job_id: str, *, by: float
     ) -> Accepted | Refused | OutcomeUnknown:
         """Append a record; repeats do no harm, since the fold takes the first."""
+        if self._view.jobs.age > SUSPECT_SECONDS:
+            try:
+                await self._view.jobs.catch_up()
+            except LogError:
+                return self._refuse(Refusal.LOG_UNAVAILABLE)
         until = by - ANSWER_MARGIN_SECONDS
         refuse_at = min(until, time.monotonic() + REFUSE_SECONDS)
         unknown = False
-        patience = FIRST_PATIENCE_SECONDS
+        patience = Patience()
         while True:
             try:
                 async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
-                    await self._log_port.append([record], patience_seconds=patience)
+                    await self._log_port.append([record], patience_seconds=patience.seconds)
                 return Accepted()
             except (NoAnswerError, TimeoutError):
                 unknown = True
-                patience *= 2
+                patience.unanswered()
                 self._counters.add("append_retries", reason="no_answer")
             except NothingDoneError:
                 self._counters.add("append_retries", reason="nothing_done")
@@ -184,4 +195,5 @@
 
     def _refuse(self, reason: Refusal) -> Refused:
         self._counters.add("refusals", reason=reason)
-        return Refused(reason=reason)
+        long = self._view.age > LONG_OUTAGE_SECONDS
+        return Refused(reason=reason, retry_after_seconds=LATER_SECONDS if long else SOON_SECONDS)
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -23,6 +23,8 @@
 
 READ_SECONDS: Final = 0.5
 """How long a read waits for a record; it bounds the age of what is known in calm."""
+JOBS_READ_SECONDS: Final = 0.3
+"""The same for the jobs' stream, which tells when an owner falls silent."""
 REPLICA_PAUSE_SECONDS: Final = 0.1
 """Least time between reads of the jobs' stream on a VM that does not own scheduling."""
 WORKERS_PAUSE_SECONDS: Final = 0.25
@@ -45,7 +47,9 @@
         self._configuration: Configuration | None = None
         self._evacuated: dict[str, str] = {}
         self._workers: dict[str, WorkerEntry] = {}
-        self.jobs = self._follower(log_port, Stream.JOBS, self._reset_jobs, self._apply_job)
+        self.jobs = self._follower(
+            log_port, Stream.JOBS, self._reset_jobs, self._apply_job, JOBS_READ_SECONDS
+        )
         """Follows the system's own records."""
         self.operators = self._follower(
             log_port, Stream.OPERATORS, self._reset_operators, self._apply_operator
@@ -101,13 +105,14 @@
         stream: Stream,
         reset: Callable[[list[KeyedRecord]], None],
         apply: Callable[[KeyedRecord], None],
+        wait_seconds: float = READ_SECONDS,
     ) -> Follower:
         return Follower(
             log_port=log_port,
             stream=stream,
             reset=reset,
             apply=apply,
-            wait_seconds=READ_SECONDS,
+            wait_seconds=wait_seconds,
             pause_seconds=0.0,
             counters=self._counters,
         )
