--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -28,6 +28,9 @@
 GANG_SECONDS: Final = 2.0
 """A gang whose members have not all started by then is stopped; workers end it a second later."""
 
+CLOCK_MARGIN: Final = 1.03
+"""A lease of a worker whose clock was never read lasts at most this much longer."""
+
 LogEvent = Callable[..., None]
 
 
@@ -38,8 +41,9 @@
     longest_lease_seconds: float = 6.0
     lease_of_start_seconds: float = 3.0
     """A start that arrives later is rejected, and the first look must renew it within this."""
-    former_owner_seconds: float = 12.0
-    """How long a former owner may go on renewing leases after it was superseded."""
+    renewal_seconds: float = 5.0
+    """How long an owner that cannot write to the log goes on renewing leases. Longer would keep
+    work alive in longer outages, and would delay the restart of work on lost workers."""
     keep_seconds: float = 180.0
     """How long an ended job can be asked for."""
 
@@ -65,6 +69,7 @@
 
     Args:
         now: Present time in seconds, when the ownership began.
+        predecessor_gone: Whether the former owner has certainly ended.
         bounds: The platform's times.
         log: Called with the name of an event and its fields for each decision.
         count: Called with a counter's name and reason.
@@ -74,11 +79,13 @@
         self,
         *,
         now: float,
+        predecessor_gone: bool,
         bounds: Bounds,
         log: LogEvent,
         count: Callable[[str, str], None],
     ) -> None:
-        self._began_at = now
+        renewed_until = now if predecessor_gone else now + bounds.renewal_seconds
+        self._inherited_until = renewed_until + CLOCK_MARGIN * bounds.longest_lease_seconds
         self._bounds = bounds
         self._log = log
         self._count = count
@@ -463,14 +470,20 @@
             self._stop_unit(unit, reason, now)
 
     def _stop_unit(self, unit: Unit, reason: str, now: float) -> None:
-        for seat in list(unit.seats.values()):
-            if seat.stop_reason:
-                continue
+        seats = [seat for seat in unit.seats.values() if not seat.stop_reason]
+        if not seats:
+            return
+        self._log(
+            "unit_stopping",
+            job_id=unit.job.job_id,
+            step=unit.step_number,
+            run=unit.run,
+            indexes=[seat.index for seat in seats],
+            reason=reason,
+        )
+        for seat in seats:
             seat.stop_reason = reason
             self._count("stops", reason)
-            self._log(
-                "task_stopping", task=seat.task, run=seat.run, worker=seat.worker, reason=reason
-            )
             if seat.first_sent_at is None and not seat.inherited:
                 self._end(seat, End.LOST, "", now, cause="never_sent")
 
@@ -526,17 +539,13 @@
     def _lease_over(self, worker: Worker, now: float) -> bool:
         inherited = any(seat.inherited for seat in worker.seats.values())
         if worker.listed_at is None or inherited:
-            if now - self._began_at < self._inherited_lease_seconds:
+            if now < self._inherited_until:
                 return False
             return not worker.clock.known or worker.lapsed(now)
         return worker.lapsed(now)
 
-    @property
-    def _inherited_lease_seconds(self) -> float:
-        return self._bounds.former_owner_seconds + 1.02 * self._bounds.longest_lease_seconds
-
     def _expire_orphans(self, now: float) -> None:
-        if not self._orphans or now - self._began_at < self._inherited_lease_seconds:
+        if not self._orphans or now < self._inherited_until:
             return
         orphans, self._orphans = self._orphans, {}
         for seats in orphans.values():
--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -13,6 +13,8 @@
 
 ACCELERATOR_CORES: Final = 8
 """Work thrown away is counted in core-seconds, and an accelerator counts as this many cores."""
+RESTART_SECONDS: Final = 1.0
+"""What a stopped unit loses beside its work until it runs again; it spares large gangs."""
 UNSAVED_SECONDS: Final = 1.0
 """Work of a checkpointing task that is lost on average, half of the time between checkpoints."""
 
@@ -39,10 +41,10 @@
     each = unit_cores(unit) / len(unit.indexes)
     total = 0.0
     for seat in seats:
-        if seat.started_at is None:
-            continue
-        worked = now - seat.started_at
-        total += each * (min(worked, UNSAVED_SECONDS) if unit.step.checkpointing else worked)
+        worked = 0.0 if seat.started_at is None else now - seat.started_at
+        if unit.step.checkpointing:
+            worked = min(worked, UNSAVED_SECONDS)
+        total += each * (worked + RESTART_SECONDS)
     return total
 
 
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -103,9 +103,10 @@
         self.seconds = 2.0
         self.dispatcher = self.new_dispatcher()
 
-    def new_dispatcher(self) -> Dispatcher:
+    def new_dispatcher(self, *, predecessor_gone: bool = True) -> Dispatcher:
         return Dispatcher(
             now=self.now,
+            predecessor_gone=predecessor_gone,
             bounds=Bounds(),
             log=lambda event, **fields: self.events.append((event, fields)),
             count=lambda name, reason: self.counts.append((name, reason)),
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -203,3 +203,29 @@
     progress = world.dispatcher.jobs["j1"].progress()
     again = OwnedJob(JobEntry(submission=entry.submission, progress=progress), now=0.0)
     assert again.progress() == progress
+
+
+def takeover_from_a_lost_worker(world: World, *, predecessor_gone: bool) -> float:
+    """Return the seconds until a task of a worker that is gone starts elsewhere."""
+    world.seconds = 60.0
+    entry = job("j1")
+    world.add(entry)
+    world.run(1.0)
+    (seat,) = world.seats("j1")
+    del world.workers[seat.worker]
+    world.dispatcher = world.new_dispatcher(predecessor_gone=predecessor_gone)
+    world.add(JobEntry(submission=entry.submission, progress=world.records[-1]))
+    began = world.now
+    while [s.run for s in world.seats("j1")] != [2] and world.now < began + 30.0:
+        world.step()
+    return world.now - began
+
+
+def test_a_successor_of_a_dead_owner_waits_for_one_lease(world: World) -> None:
+    """Guards against work of lost workers that is still missing when the day ends."""
+    assert 6.0 < takeover_from_a_lost_worker(world, predecessor_gone=True) < 7.0
+
+
+def test_a_successor_of_a_silent_owner_waits_for_its_renewals_too(world: World) -> None:
+    """Guards against two runs while a superseded owner still renews a lease."""
+    assert 11.0 < takeover_from_a_lost_worker(world, predecessor_gone=False) < 12.0
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -75,6 +75,7 @@
         self._owner: Owner | None = None
         self._ended_epoch = 0
         self._sequence = 0
+        self._predecessor_gone = False
         self._stopping = False
         self._election = asyncio.Event()
         self._view.on_submission = self._submitted
@@ -164,6 +165,7 @@
         # The log answers an append with a known sequence number like the first one, so two VMs
         # that claim the same epoch must not share theirs.
         self._sequence = secrets.randbelow(SEQUENCES)
+        self._predecessor_gone = last is None or last.released or last.vm == self._vm
         try:
             fence = Fence(epoch=claim.epoch, sequence=self._sequence)
             await self._log_port.append([record], at=at, fence=fence)
@@ -183,6 +185,7 @@
             workers=self._workers,
             claim=claim,
             sequence=self._sequence,
+            predecessor_gone=self._predecessor_gone,
             bounds=self._bounds,
             counters=self._counters,
         )
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -63,6 +63,7 @@
         workers: Calls to workers.
         claim: The claim that won.
         sequence: Sequence number of the claim's append.
+        predecessor_gone: Whether the former owner has certainly ended.
         bounds: The platform's times.
         counters: Counts decisions.
     """
@@ -75,6 +76,7 @@
         workers: Workers,
         claim: OwnerClaim,
         sequence: int,
+        predecessor_gone: bool,
         bounds: Bounds,
         counters: Counters,
     ) -> None:
@@ -88,6 +90,7 @@
         )
         self._dispatcher = Dispatcher(
             now=time.monotonic(),
+            predecessor_gone=predecessor_gone,
             bounds=bounds,
             log=log,
             count=lambda name, reason: counters.add(name, reason=reason),
@@ -290,7 +293,7 @@
         """Return until when a look renews the worker's lease, None if it must not."""
         if not worker.clock.known or now - worker.answered_at > RENEW_SILENCE_SECONDS:
             return None
-        if now - self._recorder.confirmed_at > self._bounds.former_owner_seconds:
+        if now - self._recorder.confirmed_at > self._bounds.renewal_seconds:
             return None
         until = int(worker.clock.latest(now) + self._bounds.longest_lease_seconds * 1e3)
         worker.lease_until_ms = max(worker.lease_until_ms, until)
--- a/packages/telemetry/src/zinniaweir/telemetry/sink.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/sink.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from typing import Final, TextIO
 
-QUEUE_LINES: Final = 2_000
+QUEUE_LINES: Final = 3_000
 """Lines that wait for a slow reader; at some 300 bytes each they take less than a megabyte."""
-EVENT_BURST: Final = 200.0
+EVENT_BURST: Final = 1_500.0
 """Lines of one event that are written at once."""
-EVENTS_PER_SECOND: Final = 40.0
+EVENTS_PER_SECOND: Final = 150.0
 """Lines of one event per second beyond the burst."""
 
 
