--- /dev/null
+++ b/packages/node/tests/conftest.py
@@ -0,0 +1,178 @@
+"""A log and workers in memory, for tests of the process without a network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from zinniaweir.dispatch.messages import Listing, StartAnswer, TaskId, WorkerEntry
+from zinniaweir.node.ports import (
+    Evacuation,
+    Fence,
+    KeyedRecord,
+    NoAnswerError,
+    NothingDoneError,
+    Page,
+    Stream,
+    SupersededError,
+    Tail,
+)
+from zinniaweir.workloads.queues import Configuration, Customer, QueueTerms, Route
+
+TERMS = QueueTerms(name="traces", service="rendering")
+PARISH = Customer(name="parish", keys=frozenset({"key-1"}))
+SETTINGS = Configuration(
+    version=1,
+    routes=(Route(host="a.example", prefix="/traces/", terms=TERMS),),
+    customers=(PARISH,),
+)
+
+
+@dataclass
+class MemoryLog:
+    """One log; faults are set by the test."""
+
+    streams: dict[Stream, list[KeyedRecord]] = field(
+        default_factory=lambda: {stream: [] for stream in Stream}
+    )
+    down: bool = False
+    lose_answers: int = 0
+    """Appends that take effect and are not answered."""
+    refuse: Callable[[], bool] = lambda: False
+    epoch: int = 0
+    answered: dict[tuple[int, int], int] = field(default_factory=dict)
+    appended: int = 0
+
+    def put(self, stream: Stream, key: str, value: bytes | None) -> None:
+        records = self.streams[stream]
+        records.append(KeyedRecord(key=key, value=value, offset=len(records)))
+
+    async def newest(self, stream: Stream, *, after: str = "") -> Page:
+        await self._reach()
+        latest = {record.key: record for record in self.streams[stream]}
+        records = tuple(r for k, r in sorted(latest.items()) if k > after and r.value is not None)
+        return Page(records=records, more=False, end=len(self.streams[stream]))
+
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, patience_seconds: float
+    ) -> Tail:
+        await self._reach()
+        waited = 0.0
+        while len(self.streams[stream]) <= start and waited < wait_seconds:
+            await asyncio.sleep(0.01)
+            waited += 0.01
+            await self._reach()
+        records = tuple(self.streams[stream][start:])
+        return Tail(records=records, next_offset=start + len(records))
+
+    async def append(
+        self,
+        records: list[KeyedRecord],
+        *,
+        at: int | None = None,
+        fence: Fence | None = None,
+        patience_seconds: float | None = None,
+    ) -> int:
+        await self._reach()
+        if self.refuse():
+            raise NothingDoneError("refused")
+        stream = self.streams[Stream.JOBS]
+        if fence is not None:
+            known = self.answered.get((fence.epoch, fence.sequence))
+            if known is not None:
+                return known
+            if fence.epoch < self.epoch:
+                raise SupersededError("fenced")
+        if at is not None and at != len(stream):
+            raise SupersededError("condition")
+        offset = len(stream)
+        for record in records:
+            stream.append(replace(record, offset=len(stream)))
+        self.appended += 1
+        if fence is not None:
+            self.epoch = fence.epoch
+            self.answered[fence.epoch, fence.sequence] = offset
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise NoAnswerError("lost")
+        return offset
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(0)
+        if self.down:
+            raise NoAnswerError("down")
+
+
+class MemoryDecoder:
+    """Knows two settings records and the workers by name."""
+
+    def operators(self, record: KeyedRecord) -> Configuration | Evacuation | None:
+        if record.key == "config":
+            return replace(SETTINGS, version=int(record.value or b"1"))
+        if record.key.startswith("evacuate/"):
+            return Evacuation(failure_domain=record.key.removeprefix("evacuate/"))
+        return None
+
+    def worker(self, record: KeyedRecord) -> WorkerEntry | None:
+        if record.value == b"broken":
+            return None
+        return WorkerEntry(
+            worker=record.key,
+            service="rendering",
+            address="none",
+            failure_domain="diliman",
+            rack="r1-1",
+            labels=frozenset(),
+            life=1,
+            draining=False,
+            cpu_millis=8_000,
+            memory_mb=8_000,
+            accelerators=8,
+        )
+
+
+class MemoryWorkers:
+    """Workers that finish nothing by themselves and keep the highest epoch."""
+
+    def __init__(self) -> None:
+        self.started: list[tuple[str, TaskId, int, int]] = []
+
+    async def start(
+        self,
+        entry: WorkerEntry,
+        task: TaskId,
+        *,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        deadline_ms: int,
+        epoch: int,
+    ) -> StartAnswer:
+        self.started.append((entry.worker, task, run, epoch))
+        return StartAnswer.STARTED
+
+    async def stop(self, entry: WorkerEntry, task: TaskId, *, run: int, epoch: int) -> None:
+        await asyncio.sleep(0)
+
+    async def look(
+        self,
+        entry: WorkerEntry,
+        *,
+        epoch: int,
+        noted: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+    ) -> Listing:
+        await asyncio.sleep(0.02)
+        clock = int(asyncio.get_running_loop().time() * 1e3)
+        return Listing(life=1, clock_ms=clock, running=(), ended=())
+
+
+@pytest.fixture
+def memory_log() -> MemoryLog:
+    log = MemoryLog()
+    log.put(Stream.OPERATORS, "config", b"1")
+    return log
--- /dev/null
+++ b/packages/node/tests/test_candidacy.py
@@ -0,0 +1,59 @@
+"""Tests of when a VM claims the ownership."""
+
+from __future__ import annotations
+
+from zinniaweir.node.candidacy import Candidacy
+from zinniaweir.workloads.records import OwnerClaim
+
+
+def candidacy() -> Candidacy:
+    return Candidacy(vm="v1", incarnation="mine", delay=0.1)
+
+
+def claim(**changes: object) -> OwnerClaim:
+    return OwnerClaim(**({"vm": "v2", "incarnation": "other", "epoch": 1} | changes))
+
+
+def follow(watch: Candidacy, held: OwnerClaim, start: float, end: float) -> float:
+    at = start
+    while at < end:
+        watch.read(held, previous_at=at - 0.4, at=at)
+        at += 0.4
+    return at - 0.4
+
+
+def test_an_owner_that_renews_is_left_alone() -> None:
+    """Guards against ownership that moves without need."""
+    watch = candidacy()
+    for beat in range(10):
+        watch.read(claim(beat=beat), previous_at=beat * 0.4 - 0.4, at=beat * 0.4)
+        assert not watch.should_claim(claim(beat=beat), fresh_at=beat * 0.4)
+
+
+def test_a_silent_owner_is_replaced() -> None:
+    """Guards against work that nobody drives."""
+    watch = candidacy()
+    last = follow(watch, claim(), 0.0, 3.0)
+    assert watch.should_claim(claim(), fresh_at=last)
+
+
+def test_an_outage_of_the_log_replaces_nobody() -> None:
+    """Guards against a takeover in the moment that the log is back."""
+    watch = candidacy()
+    follow(watch, claim(), 0.0, 0.5)
+    watch.read(claim(), previous_at=0.4, at=9.0)
+    assert not watch.should_claim(claim(), fresh_at=9.0)
+
+
+def test_a_released_claim_and_one_of_an_earlier_process_are_taken_at_once() -> None:
+    """Guards against a pause after a planned stop or a restart of all VMs."""
+    watch = candidacy()
+    watch.read(claim(released=True), previous_at=0.0, at=0.1)
+    assert watch.should_claim(claim(released=True), fresh_at=0.1)
+    watch.read(claim(vm="v1"), previous_at=0.1, at=0.2)
+    assert watch.should_claim(claim(vm="v1"), fresh_at=0.2)
+
+
+def test_nothing_is_claimed_before_the_log_was_read() -> None:
+    """Guards against a claim on an unknown state."""
+    assert not candidacy().should_claim(None, fresh_at=0.0)
--- /dev/null
+++ b/packages/node/tests/test_node.py
@@ -0,0 +1,201 @@
+"""Tests of VMs on one log: acceptance, ownership and its changes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from zinniaweir.dispatch.dispatcher import Bounds
+from zinniaweir.node.answers import (
+    Accepted,
+    OutcomeUnknown,
+    Refusal,
+    Refused,
+    StateOf,
+    UnknownJob,
+)
+from zinniaweir.node.node import Node
+from zinniaweir.node.ports import Stream
+from zinniaweir.telemetry.counters import Counters
+from zinniaweir.workloads.records import JobState
+from zinniaweir.workloads.spec import JobSpec, StepSpec
+
+from .conftest import PARISH, TERMS, MemoryDecoder, MemoryLog, MemoryWorkers
+
+SPEC = JobSpec(payload="x", steps=(StepSpec(count=1, accelerators=1),))
+
+
+def new_node(vm: str, log: MemoryLog, workers: MemoryWorkers) -> Node:
+    return Node(
+        vm=vm,
+        log_port=log,
+        decoder=MemoryDecoder(),
+        workers=workers,
+        bounds=Bounds(),
+        counters=Counters(),
+    )
+
+
+@asynccontextmanager
+async def running(*nodes: Node) -> AsyncIterator[None]:
+    tasks = [asyncio.create_task(node.run()) for node in nodes]
+    try:
+        await until(lambda: all(node.service.ready for node in nodes))
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def until(condition: Callable[[], bool], *, seconds: float = 5.0) -> None:
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come true in time"
+        await asyncio.sleep(0.01)
+
+
+def run(work: Awaitable[None]) -> None:
+    async def whole() -> None:
+        async with asyncio.timeout(20):
+            await work
+
+    asyncio.run(whole())
+
+
+def by() -> float:
+    return time.monotonic() + 3.0
+
+
+def test_two_vms_that_claim_at_once_give_one_owner(memory_log: MemoryLog) -> None:
+    """Guards against two owners: the log answers a known sequence like the first append."""
+    workers = MemoryWorkers()
+
+    async def work() -> None:
+        nodes = [new_node(f"v{n}", memory_log, workers) for n in range(5)]
+        async with running(*nodes):
+            await until(lambda: any(node.owner for node in nodes))
+            await asyncio.sleep(0.6)
+            assert sum(node.owner is not None for node in nodes) == 1
+
+    run(work())
+
+
+def test_a_job_is_accepted_on_one_vm_and_known_on_another(memory_log: MemoryLog) -> None:
+    """Guards against a caller whose next request reaches a VM that has not read the job yet."""
+    workers = MemoryWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        first, second = (new_node(f"v{n}", memory_log, workers) for n in range(2))
+        async with running(first, second):
+            assert await first.service.submit(PARISH, TERMS, "a1", SPEC, by=by()) == Accepted()
+            assert isinstance(await second.service.state(PARISH, "a1"), StateOf)
+            assert await second.service.state(PARISH, "a2") == UnknownJob()
+            await until(lambda: len(workers.started) == 1)
+            assert await second.service.cancel(PARISH, "a1", by=by()) == Accepted()
+            entry = first.view.book.job
+            await until(lambda: (e := entry("a1")) is not None and e.cancelled)
+            assert await first.service.state(PARISH, "a1") == StateOf(state=JobState.CANCELLED)
+
+    run(work())
+
+
+def test_a_lost_answer_of_the_log_ends_as_an_acceptance(memory_log: MemoryLog) -> None:
+    """Guards against a refusal of a job that is stored and will run."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            memory_log.lose_answers = 1
+            assert await node.service.submit(PARISH, TERMS, "a1", SPEC, by=by()) == Accepted()
+
+    run(work())
+
+
+def test_a_log_that_rejects_gives_a_true_refusal(memory_log: MemoryLog) -> None:
+    """Guards against a job that is refused and runs."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            memory_log.refuse = lambda: True
+            answer = await node.service.submit(PARISH, TERMS, "a1", SPEC, by=by())
+            assert isinstance(answer, Refused)
+            assert answer.reason is Refusal.LOG_UNAVAILABLE
+            keys = [record.key for record in memory_log.streams[Stream.JOBS]]
+            assert "s/a1" not in keys
+
+    run(work())
+
+
+def test_a_silent_log_leaves_the_outcome_open_only_for_what_was_sent(memory_log: MemoryLog) -> None:
+    """Guards against callers that cannot try again after an outage that was known."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            memory_log.down = True
+            soon = time.monotonic() + 0.8
+            answer = await node.service.submit(PARISH, TERMS, "a1", SPEC, by=soon)
+            assert isinstance(answer, OutcomeUnknown)
+            await asyncio.sleep(0.5)
+            answer = await node.service.submit(PARISH, TERMS, "a2", SPEC, by=by())
+            assert isinstance(answer, Refused)
+            assert not node.ready or node.view.age < 2.0
+
+    run(work())
+
+
+def test_a_planned_stop_hands_over_at_once_even_while_a_renewal_is_in_flight(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against a release that is lost, after which nobody schedules for seconds."""
+    workers = MemoryWorkers()
+
+    async def work() -> None:
+        nodes = [new_node(f"v{n}", memory_log, workers) for n in range(2)]
+        async with running(*nodes):
+            await until(lambda: any(node.owner for node in nodes))
+            owner = next(node for node in nodes if node.owner)
+            other = next(node for node in nodes if node is not owner)
+            assert owner.owner is not None
+            owner.owner.wake()
+            await owner.stop()
+            await until(lambda: other.owner is not None, seconds=1.0)
+
+    run(work())
+
+
+def test_a_superseded_owner_steps_down(memory_log: MemoryLog) -> None:
+    """Guards against two VMs that drive workers at one time."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            first = node.owner
+            memory_log.epoch = 99
+            await until(lambda: node.owner is not first)
+
+    run(work())
+
+
+def test_broken_records_of_others_harm_nothing(memory_log: MemoryLog) -> None:
+    """Guards against a record of another writer that ends the process."""
+    memory_log.put(Stream.WORKERS, "w0", b"broken")
+    memory_log.put(Stream.OPERATORS, "strange", b"\x00")
+    memory_log.put(Stream.JOBS, "s/zz", b"\xff\xff")
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+    workers = MemoryWorkers()
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            assert await node.service.submit(PARISH, TERMS, "a1", SPEC, by=by()) == Accepted()
+            await until(lambda: len(workers.started) == 1)
+
+    run(work())
