--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -18,7 +18,9 @@
     TaskId,
     WorkerEntry,
 )
+from zinniaweir.dispatch.ordering import objective
 from zinniaweir.dispatch.planning import Planner
+from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runtimes import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.book import JobEntry
@@ -31,8 +33,6 @@
 CLOCK_MARGIN: Final = 1.03
 """A lease of a worker whose clock was never read lasts at most this much longer."""
 
-LogEvent = Callable[..., None]
-
 
 @dataclass(frozen=True, kw_only=True)
 class Bounds:
@@ -71,8 +71,7 @@
         now: Present time in seconds, when the ownership began.
         predecessor_gone: Whether the former owner has certainly ended.
         bounds: The platform's times.
-        log: Called with the name of an event and its fields for each decision.
-        count: Called with a counter's name and reason.
+        reporter: Takes log lines, counts and durations.
     """
 
     def __init__(
@@ -81,14 +80,14 @@
         now: float,
         predecessor_gone: bool,
         bounds: Bounds,
-        log: LogEvent,
-        count: Callable[[str, str], None],
+        reporter: Reporter,
     ) -> None:
         renewed_until = now if predecessor_gone else now + bounds.renewal_seconds
         self._inherited_until = renewed_until + CLOCK_MARGIN * bounds.longest_lease_seconds
         self._bounds = bounds
-        self._log = log
-        self._count = count
+        self._reporter = reporter
+        self._log = reporter.log
+        self._count = reporter.count
         self._jobs: dict[str, OwnedJob] = {}
         self._fleet = Fleet()
         self._health = Health()
@@ -99,7 +98,10 @@
         self._orphans: dict[tuple[str, int], dict[tuple[TaskId, int], Assignment]] = {}
         self._strays: list[tuple[str, TaskId, int]] = []
         self._planner = Planner(
-            fleet=self._fleet, health=self._health, run_times=self._run_times, log=log, count=count
+            fleet=self._fleet,
+            health=self._health,
+            run_times=self._run_times,
+            reporter=reporter,
         )
 
     @property
@@ -146,6 +148,17 @@
             self._adopt(seat)
             if job.closed:
                 seat.stop_reason = "job_closed"
+        self._log(
+            "job_taken",
+            job_id=job_id,
+            customer=job.customer,
+            queue=job.terms.name,
+            priority=job.terms.priority,
+            state=job.state,
+            age=round(age, 3),
+            units=len(job.units),
+            seats=sum(1 for _ in job.seats),
+        )
 
     def cancel(self, job_id: str, *, now: float) -> None:
         """Take a job's cancellation."""
@@ -399,6 +412,7 @@
             return
         seat.started, seat.started_at = True, now
         seat.percent_at = now
+        self._reporter.measure("start", now - seat.placed_at, seat.unit.job.terms.name)
         self._log(
             "task_started",
             task=seat.task,
@@ -444,7 +458,14 @@
         job.finish_unit(unit)
         if not any(job.open_units) and job.ended_at is None:
             job.ended_at = now
-            self._log("job_complete", job_id=job.job_id, seconds=round(now - job.accepted_at, 3))
+            seconds = now - job.accepted_at
+            self._reporter.measure("job", seconds, job.terms.name)
+            self._log(
+                "job_complete",
+                job_id=job.job_id,
+                seconds=round(seconds, 3),
+                objective=round(objective(job, self._run_times), 3),
+            )
 
     def _interrupted(self, seat: Assignment, end: End, now: float) -> None:
         unit, job = seat.unit, seat.unit.job
@@ -503,6 +524,8 @@
             worker.seat(seat)
             self._placed.append(seat)
         self._dirty[unit.job.job_id] = unit.job
+        self._reporter.measure("placement_wait", now - unit.waiting_since, unit.job.terms.name)
+        unit.wait_logged = False
         self._log(
             "unit_placed",
             job_id=unit.job.job_id,
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -12,6 +12,7 @@
 from zinniaweir.dispatch.ordering import Rank, rank
 from zinniaweir.dispatch.placement import allowed_on, choose, fewest_racks, room_for
 from zinniaweir.dispatch.preemption import choose_eviction, unit_cores
+from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.reserving import BACKFILL_MARGIN, Reservation, reserve
 from zinniaweir.dispatch.runtimes import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
@@ -49,8 +50,7 @@
         fleet: The workers.
         health: The standing of workers.
         run_times: Expected durations.
-        log: Called for each decision.
-        count: Called with a counter's name and reason.
+        reporter: Takes log lines and counts.
     """
 
     def __init__(
@@ -59,14 +59,13 @@
         fleet: Fleet,
         health: Health,
         run_times: RunTimes,
-        log: Callable[..., None],
-        count: Callable[[str, str], None],
+        reporter: Reporter,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
-        self._log = log
-        self._count = count
+        self._log = reporter.log
+        self._count = reporter.count
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
@@ -179,10 +178,33 @@
             self._place(unit, chosen)
             return
         self._full.add(shape)
+        self._report_wait(unit, found, workers, covered=covered)
         if unit.job.terms.priority == GUARANTEED_PRIORITY:
             self._make_room(unit, found, workers, spread=spread, covered=covered)
         self._keep_room(unit, found, spread)
 
+    def _report_wait(
+        self, unit: Unit, found: Rank, workers: Sequence[Worker], *, covered: bool
+    ) -> None:
+        if unit.wait_logged:
+            return
+        unit.wait_logged = True
+        planner = self._planner
+        planner._count("waits", "no_worker" if not workers else "no_room")
+        planner._log(
+            "unit_waits",
+            job_id=unit.job.job_id,
+            step=unit.step_number,
+            first=unit.indexes[0],
+            tasks=len(unit.indexes),
+            place=found.place,
+            covered=covered,
+            usable_workers=len(self._usable),
+            open_workers=len(workers),
+            free_accelerators=sum(w.free_accelerators for w in workers),
+            view_age=round(self._now - planner._view_at, 3),
+        )
+
     def _workers_for(self, unit: Unit) -> list[Worker]:
         now, planner = self._now, self._planner
         workers = [
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -68,6 +68,8 @@
     seats: dict[int, Assignment] = field(default_factory=dict)
     """Assignments of the newest run that may still be in use, by index."""
     waiting_since: float = 0.0
+    wait_logged: bool = False
+    """Whether the log has a line about its present wait."""
     room_asked_at: float | None = None
     """When other work was last stopped to make room for it."""
 
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -108,10 +108,18 @@
             now=self.now,
             predecessor_gone=predecessor_gone,
             bounds=Bounds(),
-            log=lambda event, **fields: self.events.append((event, fields)),
-            count=lambda name, reason: self.counts.append((name, reason)),
+            reporter=self,
         )
 
+    def log(self, event: str, **fields: Any) -> None:
+        self.events.append((event, fields))
+
+    def count(self, name: str, reason: str) -> None:
+        self.counts.append((name, reason))
+
+    def measure(self, name: str, seconds: float, label: str) -> None:
+        assert seconds >= 0, (name, label)
+
     def configure(self, *customers: Customer, evacuated: frozenset[str] = frozenset()) -> None:
         self.dispatcher.configure(Configuration(version=1, customers=customers), evacuated)
 
@@ -135,7 +143,7 @@
                 running=running,
                 ended=tuple(fake.ended),
             )
-            self.dispatcher.listing(worker, listing, asked_at=self.now, now=self.now + 0.001)
+            self.dispatcher.listing(worker, listing, asked_at=self.now - 0.001, now=self.now)
 
     def start(self, seat: Assignment) -> None:
         if not self.dispatcher.start_sent(seat, now=self.now):
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -25,6 +25,7 @@
 from zinniaweir.node.view import REPLICA_PAUSE_SECONDS, View
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
+from zinniaweir.telemetry.timers import Timers
 from zinniaweir.workloads.records import OWNER_KEY, OwnerClaim, Submission, encode_record
 
 CLAIM_SPREAD_SECONDS: Final = 0.3
@@ -47,6 +48,7 @@
         workers: Calls to workers.
         bounds: The platform's times.
         counters: Counts what happens.
+        timers: Measures waits and jobs.
     """
 
     def __init__(
@@ -58,12 +60,14 @@
         workers: Workers,
         bounds: Bounds,
         counters: Counters,
+        timers: Timers,
     ) -> None:
         self._vm = vm
         self._log_port = log_port
         self._workers = workers
         self._bounds = bounds
         self._counters = counters
+        self._timers = timers
         self._incarnation = secrets.token_hex(8)
         self._view = View(log_port=log_port, decoder=decoder, counters=counters)
         self._service = Service(view=self._view, log_port=log_port, counters=counters)
@@ -188,6 +192,7 @@
             predecessor_gone=self._predecessor_gone,
             bounds=self._bounds,
             counters=self._counters,
+            timers=self._timers,
         )
         self._view.jobs.pause_seconds = 0.0
         following = asyncio.create_task(self._view.workers.run())
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -22,9 +22,11 @@
     Workers,
 )
 from zinniaweir.node.recorder import Recorder
+from zinniaweir.node.reporting import Telemetry
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
+from zinniaweir.telemetry.timers import Timers
 from zinniaweir.workloads.book import JobEntry
 from zinniaweir.workloads.records import (
     OWNER_KEY,
@@ -66,6 +68,7 @@
         predecessor_gone: Whether the former owner has certainly ended.
         bounds: The platform's times.
         counters: Counts decisions.
+        timers: Measures waits and jobs.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         predecessor_gone: bool,
         bounds: Bounds,
         counters: Counters,
+        timers: Timers,
     ) -> None:
         self._view = view
         self._workers = workers
@@ -92,8 +96,7 @@
             now=time.monotonic(),
             predecessor_gone=predecessor_gone,
             bounds=bounds,
-            log=log,
-            count=lambda name, reason: counters.add(name, reason=reason),
+            reporter=Telemetry(epoch=claim.epoch, counters=counters, timers=timers),
         )
         self._wake = asyncio.Event()
         self._record_wake = asyncio.Event()
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -19,6 +19,7 @@
 from zinniaweir.node.node import Node
 from zinniaweir.node.ports import Stream
 from zinniaweir.telemetry.counters import Counters
+from zinniaweir.telemetry.timers import Timers
 from zinniaweir.workloads.records import JobState
 from zinniaweir.workloads.spec import JobSpec, StepSpec
 
@@ -35,6 +36,7 @@
         workers=workers,
         bounds=Bounds(),
         counters=Counters(),
+        timers=Timers(),
     )
 
 
