--- a/packages/ctl/src/zinniaweir/ctl/app.py
+++ b/packages/ctl/src/zinniaweir/ctl/app.py
@@ -7,6 +7,7 @@
 from zinniaweir.ctl import (
     domain_commands,
     exits,
+    explain_command,
     job_commands,
     overview_commands,
     report_command,
@@ -21,3 +22,4 @@
 overview_commands.register(app)
 request_commands.register(app)
 report_command.register(app)
+explain_command.register(app)
--- /dev/null
+++ b/packages/ctl/src/zinniaweir/ctl/explain_command.py
@@ -0,0 +1,62 @@
+"""The command that tells what happened to a job from log lines."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, Parameter
+
+from zinniaweir.ctl import exits
+
+
+def register(app: App) -> None:
+    """Add the command to the program."""
+    app.command(explain)
+
+
+def explain(
+    job_id: str,
+    *,
+    logs: Annotated[list[Path] | None, Parameter(name="--logs", consume_multiple=True)] = None,
+    json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+) -> None:
+    """Tell what happened to a job, and why, from the log lines of all processes.
+
+    Args:
+        job_id: The caller's id of the job.
+        logs: Files with log lines; standard input if there are none.
+        json: Print the story for a program.
+    """
+    # Imported here, since no other command needs it.
+    from zinniaweir.report.story import StoryError, tell
+
+    try:
+        story = tell(job_id, _lines(logs or []))
+    except (StoryError, OSError) as error:
+        print(f"explain: {error}", file=sys.stderr)
+        sys.exit(exits.NOT_FOUND if isinstance(error, StoryError) else exits.INVALID)
+    if json:
+        sys.stdout.write(msgspec.json.encode(story, enc_hook=str).decode() + "\n")
+        return
+    for line in story.lines:
+        at = datetime.fromtimestamp(line.at, UTC).strftime("%H:%M:%S.%f")[:-3]
+        facts = " ".join(f"{name}={value}" for name, value in line.facts.items())
+        print(f"{at} {line.vm} {line.event} {facts}".rstrip())
+    if story.broken_lines:
+        print(f"explain: {story.broken_lines} lines could not be read", file=sys.stderr)
+    print(f"cause: {story.cause}")
+
+
+def _lines(paths: list[Path]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+        return
+    with ExitStack() as stack:
+        for path in paths:
+            yield from stack.enter_context(path.open(encoding="utf-8", errors="replace"))
--- /dev/null
+++ b/packages/report/src/zinniaweir/report/story.py
@@ -0,0 +1,200 @@
+"""Tells what happened to one job from the log lines of all processes."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from statistics import median
+from typing import Any, Final
+
+REFERENCE: Final = "configuration_applied"
+"""All VMs see a new version within a read, so it shows how far their clocks differ."""
+HIDDEN: Final = frozenset(
+    {"message_type", "timestamp", "task_uuid", "task_level", "process", "vm", "job_id", "task"}
+)
+BACKGROUND: Final = frozenset(
+    {
+        "owner_began",
+        "owner_ended",
+        "owner_fenced",
+        "dependency_lost",
+        "dependency_regained",
+        "worker_lost",
+        "worker_paused",
+    }
+)
+"""Events of no single job that explain gaps in one."""
+
+
+class StoryError(Exception):
+    """The lines do not tell of the job."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Line:
+    """One log line."""
+
+    at: float
+    """Wall-clock time in seconds, corrected by the VM's clock."""
+    vm: str
+    event: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def job_id(self) -> str:
+        """The job that the line is about, empty if it is about none."""
+        task = self.fields.get("task")
+        if isinstance(task, list) and task:
+            return str(task[0])
+        return str(self.fields.get("job_id", ""))
+
+    @property
+    def facts(self) -> dict[str, Any]:
+        """The fields that say something beyond the event, the job and the place."""
+        facts = {k: v for k, v in self.fields.items() if k not in HIDDEN}
+        task = self.fields.get("task")
+        if isinstance(task, list):
+            facts["task"] = ".".join(str(part) for part in task[1:])
+        return facts
+
+
+@dataclass(frozen=True, kw_only=True)
+class Story:
+    """What happened to a job."""
+
+    job_id: str
+    lines: tuple[Line, ...]
+    cause: str
+    broken_lines: int
+    """Lines that could not be read."""
+
+
+def tell(job_id: str, texts: Iterable[str]) -> Story:
+    """Return the story of a job.
+
+    Args:
+        job_id: The caller's id.
+        texts: Log lines of all processes, in any order.
+
+    Raises:
+        StoryError: If no line names the job.
+    """
+    lines, broken = _read(texts)
+    own = [line for line in lines if line.job_id == job_id]
+    if not own:
+        raise StoryError(f"no log line names job {job_id}; {broken} lines could not be read")
+    first, last = own[0].at, own[-1].at
+    around = [ln for ln in lines if ln.event in BACKGROUND and first <= ln.at <= last]
+    told = tuple(sorted([*own, *around], key=lambda line: line.at))
+    return Story(job_id=job_id, lines=told, cause=_cause(own, around), broken_lines=broken)
+
+
+def _read(texts: Iterable[str]) -> tuple[list[Line], int]:
+    lines: list[Line] = []
+    broken = 0
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            content = json.loads(text[start:])
+            line = Line(
+                at=float(content["timestamp"]),
+                vm=str(content["vm"]),
+                event=str(content["message_type"]),
+                fields=content,
+            )
+        except (ValueError, KeyError, TypeError):
+            broken += 1
+            continue
+        lines.append(line)
+    offsets = _clock_offsets(lines)
+    corrected = [
+        Line(at=ln.at - offsets.get(ln.vm, 0.0), vm=ln.vm, event=ln.event, fields=ln.fields)
+        for ln in lines
+    ]
+    return sorted(corrected, key=lambda line: line.at), broken
+
+
+def _clock_offsets(lines: Sequence[Line]) -> dict[str, float]:
+    """Return by how much each VM's clock is ahead, as far as common events tell."""
+    seen: dict[Any, dict[str, float]] = defaultdict(dict)
+    for line in lines:
+        if line.event == REFERENCE:
+            seen[line.fields.get("version")].setdefault(line.vm, line.at)
+    differences: dict[str, list[float]] = defaultdict(list)
+    for times in seen.values():
+        middle = median(times.values())
+        for vm, at in times.items():
+            differences[vm].append(at - middle)
+    return {vm: median(values) for vm, values in differences.items()}
+
+
+def _cause(own: Sequence[Line], around: Sequence[Line]) -> str:
+    answers = [line for line in own if line.event == "submission_answered"]
+    accepted = [line for line in answers if line.fields.get("answer") == "Accepted"]
+    if answers and not accepted and not any(line.event == "job_taken" for line in own):
+        return _refused(answers, around)
+    for line in own:
+        if line.event == "job_failed":
+            return _failed(own, line)
+    for line in own:
+        if line.event == "job_closed" and line.fields.get("reason") == "cancelled":
+            return "cancelled by its caller"
+    for line in own:
+        if line.event == "job_complete":
+            return _completed(own, around, line)
+    return "not ended in these lines; " + _largest_wait(own, around)
+
+
+def _refused(answers: Sequence[Line], around: Sequence[Line]) -> str:
+    reasons = Counter(ln.fields.get("reason") or ln.fields.get("answer") for ln in answers)
+    text = ", ".join(f"{reason} ({count})" for reason, count in reasons.most_common())
+    lost = sorted({ln.vm for ln in around if ln.event == "dependency_lost"})
+    where = f"; the log was lost on {', '.join(lost)}" if lost else ""
+    return f"never accepted: {text}{where}"
+
+
+def _failed(own: Sequence[Line], end: Line) -> str:
+    runs = [ln for ln in own if ln.event == "task_ended" and ln.fields.get("end") == "failed"]
+    workers = Counter(str(ln.fields.get("worker")) for ln in runs)
+    places = ", ".join(f"{worker} ({count})" for worker, count in sorted(workers.items()))
+    blame = "the job fails everywhere" if len(workers) > 1 else "one worker alone was tried"
+    return f"failed {end.fields.get('attempts')} attempts, on {places}: {blame}"
+
+
+def _completed(own: Sequence[Line], around: Sequence[Line], end: Line) -> str:
+    seconds, objective = end.fields.get("seconds", 0.0), end.fields.get("objective", 0.0)
+    if seconds <= objective:
+        return f"complete in time: {seconds} s of {objective} s"
+    return f"complete late: {seconds} s, objective {objective} s; " + _largest_wait(own, around)
+
+
+def _largest_wait(own: Sequence[Line], around: Sequence[Line]) -> str:
+    """Name the longest stretch without a placed unit, or the interruptions of runs."""
+    changes = [ln for ln in around if ln.event == "owner_began"]
+    placed = [ln for ln in own if ln.event == "unit_placed"]
+    waits = [(float(ln.fields.get("waited", 0.0)), ln) for ln in placed]
+    parts: list[str] = []
+    if waits:
+        longest, line = max(waits, key=lambda pair: pair[0])
+        step = line.fields.get("step")
+        parts.append(f"the longest wait for room was {longest:.1f} s (step {step})")
+    elif any(ln.event == "unit_waits" for ln in own):
+        parts.append("it never found room")
+    interrupted = Counter(
+        f"{ln.fields.get('end')}/{ln.fields.get('cause')}"
+        for ln in own
+        if ln.event == "task_ended" and ln.fields.get("end") != "done"
+    )
+    if interrupted:
+        text = ", ".join(f"{how} ({count})" for how, count in interrupted.most_common(3))
+        parts.append(f"runs were interrupted: {text}")
+    stops = Counter(str(ln.fields.get("reason")) for ln in own if ln.event == "unit_stopping")
+    if stops:
+        parts.append("stopped for " + ", ".join(f"{r} ({n})" for r, n in stops.most_common(3)))
+    if changes:
+        parts.append(f"the owner changed {len(changes)} times meanwhile")
+    return "; ".join(parts) or "its runs took this long"
