--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -213,8 +213,9 @@
         if worker is None or seat.stop_reason or seat.started:
             return False
         if seat.first_sent_at is None:
-            if not self._planner.startable(worker, now):
-                self._end(seat, End.LOST, "", now, cause="worker_not_usable_any_more")
+            obstacle = self._planner.obstacle(worker, now)
+            if obstacle:
+                self._end(seat, End.LOST, "", now, cause=f"worker_{obstacle}")
                 return False
             seat.first_sent_at = now
             lease_ms = int(self._bounds.lease_of_start_seconds * 1e3)
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -19,7 +19,7 @@
 from zinniaweir.workloads.queues import Configuration
 from zinniaweir.workloads.spec import StepSpec
 
-VIEW_SECONDS: Final = 1.0
+VIEW_SECONDS: Final = 1.5
 """Nothing starts on an older view of drains and evacuations; their shortest bound is 2 s."""
 MAX_RESERVATIONS: Final = 2
 """Units that room is kept for at one time; more would leave too much idle."""
@@ -80,17 +80,21 @@
         """Note that settings and the list of workers were read at a time."""
         self._view_at = max(self._view_at, at)
 
-    def startable(self, worker: Worker, now: float) -> bool:
-        """Return whether a worker may be given work now."""
-        return (
-            now - self._view_at <= VIEW_SECONDS
-            and worker.listed_at is not None
-            and worker.missing_since is None
-            and not worker.entry.draining
-            and worker.entry.failure_domain not in self._evacuated
-            and now - worker.answered_at <= SILENCE_SECONDS
-            and self._health.usable(worker.name, now=now)
-        )
+    def obstacle(self, worker: Worker, now: float) -> str:
+        """Return why a worker may not be given work now, empty if it may."""
+        if now - self._view_at > VIEW_SECONDS:
+            return "view_too_old"
+        if worker.listed_at is None:
+            return "not_listed"
+        if worker.missing_since is not None:
+            return "missing"
+        if worker.entry.draining:
+            return "draining"
+        if worker.entry.failure_domain in self._evacuated:
+            return "evacuated"
+        if now - worker.answered_at > SILENCE_SECONDS:
+            return "silent"
+        return "" if self._health.usable(worker.name, now=now) else "paused"
 
     def plan(self, jobs: Iterable[OwnedJob], *, now: float, place: Place, stop: Stop) -> None:
         """Place what fits.
@@ -156,7 +160,7 @@
         self._place = place
         self._stop = stop
         self._all = list(planner._fleet)
-        self._usable = [w for w in self._all if planner.startable(w, now)]
+        self._usable = [w for w in self._all if not planner.obstacle(w, now)]
         self._full: set[tuple[object, ...]] = set()
         self._reservations: list[Reservation] = []
 
