node: load a stream once at a time, and apply only the next record

It had loaded the stream twice at once (its own loop and a caller's catch-up); the slower load set the place back while a read further on was in flight, and the records between were skipped for good. Ruled out: dropped keys (kept 180 s) and the owner (it ran the job). The test fails without the change. Change: a lock around loads; a record is applied only if it is the next one.

--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -63,6 +63,7 @@
         self._fresh_at = float("-inf")
         self._lost = False
         self._loaded = asyncio.Event()
+        self._loading = asyncio.Lock()
         self._patience = Patience()
         self.on_fresh: Callable[[float, float], None] = lambda _since, _at: None
         """Called after each good read with the previous and the present freshness."""
@@ -115,6 +116,11 @@
             await self._read(self._wait_seconds if self._patience.calm else 0.0)
 
     async def _load(self) -> None:
+        async with self._loading:
+            if self._next is None:
+                await self._load_pages()
+
+    async def _load_pages(self) -> None:
         sent_at = time.monotonic()
         records: list[KeyedRecord] = []
         page = await self._log_port.newest(self._stream)
@@ -149,8 +155,9 @@
             log("stream_gap", stream=self._stream, offset=start)
             self._next = None
             raise
+        # Another read, or a load, may have moved the place in the stream meanwhile.
         for record in tail.records:
-            if self._next is not None and record.offset >= self._next:
+            if record.offset == self._next:
                 self._next = record.offset + 1
                 self._apply(record)
         self._good(sent_at)
--- /dev/null
+++ b/packages/node/tests/test_follower.py
@@ -0,0 +1,132 @@
+"""Tests of following a stream while it is loaded, trimmed or silent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from zinniaweir.node.follower import Follower
+from zinniaweir.node.ports import KeyedRecord, Page, Stream, Tail, TrimmedError
+from zinniaweir.telemetry.counters import Counters
+
+from .conftest import MemoryLog
+
+
+class Fold:
+    """Keeps the newest value of each key."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes | None] = {}
+
+    def reset(self, records: list[KeyedRecord]) -> None:
+        self.values = {record.key: record.value for record in records}
+
+    def apply(self, record: KeyedRecord) -> None:
+        self.values[record.key] = record.value
+
+
+def follower(log: MemoryLog, fold: Fold) -> Follower:
+    return Follower(
+        log_port=log,
+        stream=Stream.JOBS,
+        reset=fold.reset,
+        apply=fold.apply,
+        wait_seconds=0.02,
+        pause_seconds=0.0,
+        counters=Counters(),
+    )
+
+
+class SlowFirstPage(MemoryLog):
+    """The first page that is asked for arrives after records were appended and read."""
+
+    asked = 0
+
+    async def newest(self, stream: Stream, *, after: str = "") -> Page:
+        page = await super().newest(stream, after=after)
+        self.asked += 1
+        if self.asked == 1:
+            await asyncio.sleep(0.1)
+        return page
+
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, patience_seconds: float
+    ) -> Tail:
+        tail = await super().read(
+            stream, start, wait_seconds=wait_seconds, patience_seconds=patience_seconds
+        )
+        await asyncio.sleep(0.03)
+        return tail
+
+
+def test_two_loads_at_once_leave_no_gap() -> None:
+    """Guards against an accepted job that a VM never learns of: a slow load set the place in the
+    stream back while a read further on was in flight."""
+
+    async def work() -> None:
+        log, fold = SlowFirstPage(), Fold()
+        log.put(Stream.JOBS, "a", b"1")
+        watch = follower(log, fold)
+        running = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.01)
+        hurried = []
+        for n in range(20):
+            hurried.append(asyncio.create_task(watch.catch_up()))
+            await asyncio.sleep(0.015)
+            log.put(Stream.JOBS, f"k{n}", b"1")
+        await asyncio.gather(*hurried)
+        await asyncio.sleep(0.2)
+        running.cancel()
+        assert set(fold.values) == {"a", *(f"k{n}" for n in range(20))}
+
+    asyncio.run(work())
+
+
+class Trimming(MemoryLog):
+    """Its first read finds that the records are gone."""
+
+    trimmed = False
+
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, patience_seconds: float
+    ) -> Tail:
+        if not self.trimmed:
+            self.trimmed = True
+            raise TrimmedError("gone")
+        return await super().read(
+            stream, start, wait_seconds=wait_seconds, patience_seconds=patience_seconds
+        )
+
+
+def test_a_gap_is_filled_from_the_newest_records() -> None:
+    """Guards against a view that misses what happened before a trim."""
+
+    async def work() -> None:
+        log, fold = Trimming(), Fold()
+        log.put(Stream.JOBS, "a", b"1")
+        watch = follower(log, fold)
+        running = asyncio.create_task(watch.run())
+        await watch.loaded()
+        log.put(Stream.JOBS, "b", b"2")
+        await asyncio.sleep(0.4)
+        running.cancel()
+        assert fold.values == {"a": b"1", "b": b"2"}
+
+    asyncio.run(work())
+
+
+def test_the_end_of_a_silence_is_noticed_within_a_second() -> None:
+    """Guards against callers that are refused long after the log is back."""
+
+    async def work() -> None:
+        log, fold = MemoryLog(), Fold()
+        watch = follower(log, fold)
+        running = asyncio.create_task(watch.run())
+        await watch.loaded()
+        log.down = True
+        await asyncio.sleep(1.5)
+        log.down = False
+        await asyncio.sleep(0.5)
+        assert watch.age < 0.5
+        running.cancel()
+
+    asyncio.run(work())
