--- a/packages/report/src/zinniaweir/report/story.py
+++ b/packages/report/src/zinniaweir/report/story.py
@@ -16,6 +16,8 @@
 )
 NOTEWORTHY_SECONDS: Final = 0.3
 """Shorter waits explain no late job."""
+AFTER_CHANGE_SECONDS: Final = 0.5
+"""Ends that a new owner notes so soon happened while there was none."""
 BACKGROUND: Final = frozenset(
     {
         "owner_began",
@@ -151,6 +153,24 @@
     return "not ended in these lines; " + _largest_wait(own, around)
 
 
+def _change_of_owner(own: Sequence[Line], change: Line) -> str:
+    before = [ln.at for ln in own if ln.at < change.at]
+    text = f"{change.vm} became the owner"
+    if not before:
+        return text
+    noted = [
+        ln
+        for ln in own
+        if ln.event == "task_ended" and 0 <= ln.at - change.at < AFTER_CHANGE_SECONDS
+    ]
+    quiet = change.at - before[-1]
+    if noted:
+        return (
+            f"{text} {quiet:.1f} s after the last line before, and took note of {len(noted)} ends"
+        )
+    return f"{text} {quiet:.1f} s after the last line before"
+
+
 def _refused(answers: Sequence[Line], around: Sequence[Line]) -> str:
     reasons = Counter(ln.fields.get("reason") or ln.fields.get("answer") for ln in answers)
     text = ", ".join(f"{reason} ({count})" for reason, count in reasons.most_common())
@@ -209,8 +229,8 @@
         for ln in own
         if ln.event == "task_ended" and ln.fields.get("end") == "done"
     ]
-    if runs:
+    if runs and max(runs) > 0:
         parts.append(f"its longest run took {max(runs):.1f} s")
-    if changes:
-        parts.append(f"the owner changed {len(changes)} times meanwhile")
+    for change in changes:
+        parts.append(_change_of_owner(own, change))
     return "; ".join(parts) or "its runs took this long"
