--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -534,6 +534,7 @@
             first=unit.indexes[0],
             run=unit.run,
             workers=sorted({w.name for w in workers}),
+            estimate=unit.step.estimate_ms / 1e3,
             waited=round(now - unit.waiting_since, 3),
         )
 
