node: reach the log through another VM while it refuses this one

Ruled out: Retry-After alone; callers have four tries and would spend them. Change: VMs write down their addresses on the log; a call that the log does not serve goes through another VM, at most two, which pass it no further.

--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -21,17 +21,27 @@
     SupersededError,
     Workers,
 )
+from zinniaweir.node.relay import Peers, RelayLog
 from zinniaweir.node.service import Service
 from zinniaweir.node.view import REPLICA_PAUSE_SECONDS, View
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
 from zinniaweir.telemetry.timers import Timers
-from zinniaweir.workloads.records import OWNER_KEY, OwnerClaim, Submission, encode_record
+from zinniaweir.workloads.records import (
+    OWNER_KEY,
+    OwnerClaim,
+    Submission,
+    VmAddress,
+    encode_record,
+    vm_key,
+)
 
 CLAIM_SPREAD_SECONDS: Final = 0.3
 """VMs that see an owner silent claim at different times within this."""
 CLAIM_PAUSE_SECONDS: Final = 0.1
 """Longest pause before a claim, so that few VMs claim at once, and pause after one that failed."""
+ANNOUNCE_SECONDS: Final = 0.5
+"""Pause before the VM's address is written down again."""
 SEQUENCES: Final = 2**31
 """Range of the sequence numbers that an epoch may begin with."""
 RELEASE_SECONDS: Final = 1.5
@@ -42,8 +52,9 @@
     """One VM of the system.
 
     Args:
-        vm: The VM's name.
+        vm: The VM's name and address.
         log_port: The platform's log.
+        peers: Other VMs' logs.
         decoder: Decodes operators' and workers' records.
         workers: Calls to workers.
         bounds: The platform's times.
@@ -54,25 +65,30 @@
     def __init__(
         self,
         *,
-        vm: str,
+        vm: VmAddress,
         log_port: Log,
+        peers: Peers,
         decoder: Decoder,
         workers: Workers,
         bounds: Bounds,
         counters: Counters,
         timers: Timers,
     ) -> None:
-        self._vm = vm
-        self._log_port = log_port
+        self._me = vm
+        self._vm = vm.vm
+        self._relay = RelayLog(
+            direct=log_port, peers=peers, addresses=self._peer_addresses, counters=counters
+        )
+        self._log_port: Log = self._relay
         self._workers = workers
         self._bounds = bounds
         self._counters = counters
         self._timers = timers
         self._incarnation = secrets.token_hex(8)
-        self._view = View(log_port=log_port, decoder=decoder, counters=counters)
-        self._service = Service(view=self._view, log_port=log_port, counters=counters)
+        self._view = View(log_port=self._log_port, decoder=decoder, counters=counters)
+        self._service = Service(view=self._view, log_port=self._log_port, counters=counters)
         self._candidacy = Candidacy(
-            vm=vm,
+            vm=vm.vm,
             incarnation=self._incarnation,
             delay=random.uniform(0.0, CLAIM_SPREAD_SECONDS),
         )
@@ -114,6 +130,7 @@
             group.create_task(self._view.jobs.run())
             group.create_task(self._view.operators.run())
             group.create_task(self._own_in_turn())
+            group.create_task(self._announce())
 
     async def stop(self) -> None:
         """Take no more new connections and hand ownership over."""
@@ -138,6 +155,31 @@
             "workers": float(len(owner.dispatcher.fleet) if owner else 0),
         }
 
+    @property
+    def log_for_peers(self) -> Log:
+        """The log as this VM reaches it, for other VMs.
+
+        Raises:
+            NothingDoneError: If the log does not serve this VM.
+        """
+        return self._relay.for_peers
+
+    def _peer_addresses(self) -> list[str]:
+        others = [vm for vm in self._view.book.vms.values() if vm.address != self._me.address]
+        others.sort(key=lambda vm: vm.failure_domain != self._me.failure_domain)
+        return [vm.address for vm in others]
+
+    async def _announce(self) -> None:
+        """Write down where other VMs reach this one."""
+        await self._view.jobs.loaded()
+        record = KeyedRecord(key=vm_key(self._vm), value=encode_record(self._me))
+        while self._view.book.vms.get(self._vm) != self._me:
+            try:
+                await self._log_port.append([record])
+                return
+            except (NothingDoneError, NoAnswerError):
+                await asyncio.sleep(ANNOUNCE_SECONDS)
+
     async def _own_in_turn(self) -> None:
         while True:
             await self._election.wait()
--- /dev/null
+++ b/packages/node/src/zinniaweir/node/relay.py
@@ -0,0 +1,166 @@
+"""Reaches the log through another VM while the log does not serve this one."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final, Protocol, TypeVar
+
+from zinniaweir.node.ports import (
+    Fence,
+    KeyedRecord,
+    Log,
+    NoAnswerError,
+    NothingDoneError,
+    Page,
+    Stream,
+    Tail,
+)
+from zinniaweir.telemetry.counters import Counters
+from zinniaweir.telemetry.logs import log
+
+DIRECT_AGAIN_SECONDS: Final = 0.4
+"""How often the log itself is tried while calls go through other VMs."""
+PEER_PAUSE_SECONDS: Final = 1.0
+"""How long a VM that could not help is left alone."""
+PEERS_TO_TRY: Final = 2
+"""VMs that are asked for one call; when neither reaches the log, it is down for all."""
+
+T = TypeVar("T")
+
+
+class Peers(Protocol):
+    """Logs of other VMs, by their address."""
+
+    def log_of(self, address: str) -> Log:
+        """Return the log as the VM at an address reaches it."""
+
+
+class RelayLog:
+    """Call the log, or another VM's if the log refuses this one.
+
+    Only calls that may be repeated go on to another VM after one without an answer: reads, an
+    owner's appends with their sequence numbers, and callers' records, of which the first counts.
+    An append on condition is repeated only if it certainly had no effect.
+
+    Args:
+        direct: The log itself.
+        peers: Other VMs' logs.
+        addresses: Returns the addresses of other VMs, the nearest first.
+        counters: Counts calls that went through other VMs.
+    """
+
+    def __init__(
+        self,
+        *,
+        direct: Log,
+        peers: Peers,
+        addresses: Callable[[], Sequence[str]],
+        counters: Counters,
+    ) -> None:
+        self._direct = direct
+        self._peers = peers
+        self._addresses = addresses
+        self._counters = counters
+        self._direct_again_at = 0.0
+        self._direct_failing = False
+        self._paused: dict[str, float] = {}
+
+    @property
+    def for_peers(self) -> Log:
+        """The log itself, for calls that come from other VMs; they go no further.
+
+        Raises:
+            NothingDoneError: If the log does not serve this VM either.
+        """
+        if self._direct_failing:
+            raise NothingDoneError("the log does not serve this VM")
+        return self._direct
+
+    async def newest(self, stream: Stream, *, after: str = "") -> Page:
+        """Return a page of the newest record of each key."""
+        return await self._call(lambda target: target.newest(stream, after=after), repeatable=True)
+
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, patience_seconds: float
+    ) -> Tail:
+        """Return records from an offset on."""
+        return await self._call(
+            lambda target: target.read(
+                stream, start, wait_seconds=wait_seconds, patience_seconds=patience_seconds
+            ),
+            repeatable=True,
+        )
+
+    async def append(
+        self,
+        records: list[KeyedRecord],
+        *,
+        at: int | None = None,
+        fence: Fence | None = None,
+        patience_seconds: float | None = None,
+    ) -> int:
+        """Append records to the jobs' stream."""
+        return await self._call(
+            lambda target: target.append(
+                records, at=at, fence=fence, patience_seconds=patience_seconds
+            ),
+            repeatable=at is None,
+        )
+
+    async def _call(self, call: Callable[[Log], Awaitable[T]], *, repeatable: bool) -> T:
+        now = time.monotonic()
+        failure: NothingDoneError | NoAnswerError = NothingDoneError("the log is not tried yet")
+        if not self._direct_failing or now >= self._direct_again_at:
+            self._direct_again_at = now + DIRECT_AGAIN_SECONDS
+            try:
+                result = await call(self._direct)
+            except (NothingDoneError, NoAnswerError) as error:
+                self._direct_failed(error)
+                if isinstance(error, NoAnswerError) and not repeatable:
+                    raise
+                failure = error
+            else:
+                self._direct_served()
+                return result
+        return await self._through_peers(call, failure, repeatable=repeatable)
+
+    async def _through_peers(
+        self,
+        call: Callable[[Log], Awaitable[T]],
+        failure: NothingDoneError | NoAnswerError,
+        *,
+        repeatable: bool,
+    ) -> T:
+        unknown = isinstance(failure, NoAnswerError)
+        for address in self._usable_peers():
+            try:
+                result = await call(self._peers.log_of(address))
+            except (NothingDoneError, NoAnswerError) as error:
+                self._counters.add("relay_failures", reason=type(error).__name__)
+                self._paused[address] = time.monotonic() + PEER_PAUSE_SECONDS
+                if isinstance(error, NoAnswerError):
+                    unknown, failure = True, error
+                    if not repeatable:
+                        raise
+                continue
+            self._counters.add("relayed_calls")
+            return result
+        if unknown and not isinstance(failure, NoAnswerError):
+            raise NoAnswerError(str(failure))
+        raise failure
+
+    def _usable_peers(self) -> list[str]:
+        now = time.monotonic()
+        found = [a for a in self._addresses() if self._paused.get(a, 0.0) <= now]
+        return found[:PEERS_TO_TRY]
+
+    def _direct_failed(self, error: Exception) -> None:
+        if not self._direct_failing:
+            self._direct_failing = True
+            log("log_unreachable", error=f"{type(error).__name__}: {error}")
+
+    def _direct_served(self) -> None:
+        if self._direct_failing:
+            self._direct_failing = False
+            log("log_reachable")
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import pytest
 
@@ -13,6 +14,7 @@
     Evacuation,
     Fence,
     KeyedRecord,
+    Log,
     NoAnswerError,
     NothingDoneError,
     Page,
@@ -176,3 +178,38 @@
     log = MemoryLog()
     log.put(Stream.OPERATORS, "config", b"1")
     return log
+
+
+class Refusing:
+    """A log that refuses one VM while it serves the others."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self._log = log
+        self.refusing = False
+
+    def __getattr__(self, name: str) -> Any:
+        if self.refusing and name in ("newest", "read", "append"):
+            return self._refuse
+        return getattr(self._log, name)
+
+    async def _refuse(self, *_args: Any, **_options: Any) -> Any:
+        await asyncio.sleep(0)
+        raise NothingDoneError("refused")
+
+
+class MemoryPeers:
+    """Logs of other VMs by address."""
+
+    def __init__(self, logs: dict[str, Log]) -> None:
+        self._logs = logs
+
+    def log_of(self, address: str) -> Log:
+        return self._logs.get(address) or Unreachable()
+
+
+class Unreachable(Refusing):
+    """A VM that is gone."""
+
+    def __init__(self) -> None:
+        super().__init__(MemoryLog())
+        self.refusing = True
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -17,21 +17,24 @@
     UnknownJob,
 )
 from zinniaweir.node.node import Node
-from zinniaweir.node.ports import Stream
+from zinniaweir.node.ports import Log, Stream
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
-from zinniaweir.workloads.records import JobState
+from zinniaweir.workloads.records import JobState, VmAddress
 from zinniaweir.workloads.spec import JobSpec, StepSpec
 
-from .conftest import PARISH, TERMS, MemoryDecoder, MemoryLog, MemoryWorkers
+from .conftest import PARISH, TERMS, MemoryDecoder, MemoryLog, MemoryPeers, MemoryWorkers, Refusing
 
 SPEC = JobSpec(payload="x", steps=(StepSpec(count=1, accelerators=1),))
 
 
-def new_node(vm: str, log: MemoryLog, workers: MemoryWorkers) -> Node:
+def new_node(
+    vm: str, log: Log, workers: MemoryWorkers, *, peers: dict[str, Log] | None = None
+) -> Node:
     return Node(
-        vm=vm,
+        vm=VmAddress(vm=vm, address=f"{vm}:1", failure_domain="diliman"),
         log_port=log,
+        peers=MemoryPeers(peers or {}),
         decoder=MemoryDecoder(),
         workers=workers,
         bounds=Bounds(),
@@ -201,3 +204,28 @@
             await until(lambda: len(workers.started) == 1)
 
     run(work())
+
+
+def test_a_vm_that_the_log_refuses_serves_and_owns_through_another(memory_log: MemoryLog) -> None:
+    """Guards against refusals and a change of owner while other VMs reach the log."""
+    workers = MemoryWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        mine = Refusing(memory_log)
+        node = new_node("v1", mine, workers, peers={"v2:1": memory_log})
+        other = new_node("v2", memory_log, MemoryWorkers())
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            async with running(other):
+                await until(lambda: "v2" in node.view.book.vms)
+                first = node.owner
+                mine.refusing = True
+                await asyncio.sleep(2.5)
+                assert node.owner is first
+                assert node.ready
+                answer = await node.service.submit(PARISH, TERMS, "a1", SPEC, by=by())
+                assert answer == Accepted()
+                await until(lambda: len(workers.started) >= 1)
+
+    run(work())
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -18,6 +18,8 @@
     "job_complete": "all tasks of a job are done",
     "job_failed": "a task or gang of a job failed as often as its queue allows",
     "job_taken": "an owner took a job from the log",
+    "log_reachable": "the log serves this VM again",
+    "log_unreachable": "the log does not serve this VM, calls go through other VMs",
     "owner_append_delayed": "an append of the owner takes longer than a second",
     "owner_began": "this VM owns scheduling",
     "owner_ended": "this VM does not own scheduling any more",
--- a/packages/workloads/src/zinniaweir/workloads/book.py
+++ b/packages/workloads/src/zinniaweir/workloads/book.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from zinniaweir.workloads.records import (
@@ -13,6 +13,7 @@
     Progress,
     Record,
     Submission,
+    VmAddress,
 )
 
 
@@ -40,6 +41,12 @@
         self._jobs: dict[str, JobEntry] = {}
         self._early: dict[str, Progress | Cancellation] = {}
         self._claim: OwnerClaim | None = None
+        self._vms: dict[str, VmAddress] = {}
+
+    @property
+    def vms(self) -> Mapping[str, VmAddress]:
+        """Addresses of VMs, by name; some may be gone."""
+        return self._vms
 
     @property
     def claim(self) -> OwnerClaim | None:
@@ -80,6 +87,8 @@
                     self._early[key] = record
                 else:
                     _advance(entry, record)
+            case VmAddress():
+                self._vms[record.vm] = record
             case OwnerClaim():
                 if self._claim is None or record.epoch >= self._claim.epoch:
                     self._claim = record
@@ -97,9 +106,11 @@
 
     def _drop(self, key: str) -> None:
         self._early.pop(key, None)
-        kind, _, job_id = key.partition("/")
+        kind, _, name = key.partition("/")
         if kind == "s":
-            self._jobs.pop(job_id, None)
+            self._jobs.pop(name, None)
+        elif kind == "v":
+            self._vms.pop(name, None)
         elif key == OWNER_KEY:
             self._claim = None
 
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -96,7 +96,16 @@
     released: bool = False
 
 
-Record: TypeAlias = Submission | Cancellation | Progress | OwnerClaim
+class VmAddress(msgspec.Struct, frozen=True, kw_only=True, tag="vm"):
+    """Where other VMs reach a VM."""
+
+    vm: str
+    address: str
+    """As `host:port`."""
+    failure_domain: str
+
+
+Record: TypeAlias = Submission | Cancellation | Progress | OwnerClaim | VmAddress
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
@@ -117,6 +126,11 @@
     return f"p/{job_id}"
 
 
+def vm_key(vm: str) -> str:
+    """Return the key of a VM's address."""
+    return f"v/{vm}"
+
+
 def encode_record(record: Record) -> bytes:
     """Return the bytes of a record."""
     return _encoder.encode(record)
