--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -25,9 +25,9 @@
 """Units that room is kept for at one time; more would leave too much idle."""
 PREEMPTION_SECONDS: Final = 1.2
 """How long stopped work may take to leave before more is stopped; a stop takes 0.9 s at most."""
-PREEMPTION_RATIO: Final = 1.0
-"""Urgent work beyond a guarantee stops other work only if no more core-seconds are lost than it
-takes itself."""
+PREEMPTION_RATIO: Final = 2.0
+"""Urgent work beyond a guarantee stops other work only if at most this many times the core-seconds
+that it takes itself are lost; other work has seconds to spare, urgent work has not."""
 STOPPING_SECONDS: Final = 0.6
 """Expected time until a stopped task has left."""
 LARGE_SHARE: Final = 0.5
