node: claim ownership without a condition on the end of the log

Ruled out: the release; it was read at once. Change: the first append of an epoch excludes others by epoch and sequence number; the owner begins once its claim was read back. A repeated claim keeps its number. Waits for a slow log are longer. The test with a slow log and a busy writer fails without the change.

--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -16,9 +16,9 @@
     Fence,
     KeyedRecord,
     Log,
+    LogError,
     NoAnswerError,
     NothingDoneError,
-    SupersededError,
     Workers,
 )
 from zinniaweir.node.relay import Peers, RelayLog
@@ -94,6 +94,7 @@
         )
         self._owner: Owner | None = None
         self._ended_epoch = 0
+        self._claimed_epoch = 0
         self._sequence = 0
         self._predecessor_gone = False
         self._stopping = False
@@ -207,21 +208,24 @@
             vm=self._vm, incarnation=self._incarnation, epoch=(last.epoch if last else 0) + 1
         )
         record = KeyedRecord(key=OWNER_KEY, value=encode_record(claim))
-        at = self._view.jobs.next_offset
-        # The log answers an append with a known sequence number like the first one, so two VMs
-        # that claim the same epoch must not share theirs.
-        self._sequence = secrets.randbelow(SEQUENCES)
+        # The first append of an epoch fences off all others: those of lower epochs, and those of
+        # the same epoch whose sequence number does not follow. The log answers a known sequence
+        # number like the first append, so two VMs that claim at once must not share theirs.
+        # A claim that is tried again keeps its number, so that a lost answer is given again.
+        if claim.epoch != self._claimed_epoch:
+            self._claimed_epoch, self._sequence = claim.epoch, secrets.randbelow(SEQUENCES)
         self._predecessor_gone = last is None or last.released or last.vm == self._vm
+        fence = Fence(epoch=claim.epoch, sequence=self._sequence)
         try:
-            fence = Fence(epoch=claim.epoch, sequence=self._sequence)
-            await self._log_port.append([record], at=at, fence=fence)
-        except (SupersededError, NothingDoneError, NoAnswerError) as error:
+            await self._log_port.append([record], fence=fence)
+            # All that was written before the claim is known once the claim was read back.
+            await self._view.jobs.catch_up()
+        except LogError as error:
             self._counters.add("claims", reason=type(error).__name__)
-            log("claim_not_confirmed", epoch=claim.epoch, at=at, error=str(error))
+            log("claim_not_confirmed", epoch=claim.epoch, error=str(error))
             await asyncio.sleep(CLAIM_PAUSE_SECONDS)
             return
         self._counters.add("claims", reason="won")
-        self._view.book.apply(OWNER_KEY, claim)
         self._election.set()
 
     async def _own(self, claim: OwnerClaim) -> None:
--- a/packages/node/src/zinniaweir/node/patience.py
+++ b/packages/node/src/zinniaweir/node/patience.py
@@ -4,8 +4,9 @@
 
 from typing import Final
 
-SHORT_SECONDS: Final = 0.4
-"""Some ten times the usual; a lost answer or a silent connection costs no more."""
+SHORT_SECONDS: Final = 0.6
+"""Some ten times the usual, and enough for a log that is sixty times as slow; a lost answer or a
+silent connection costs no more."""
 LONG_SECONDS: Final = 1.4
 """Each third try waits this long, so that a log that is slow can still answer."""
 TRIES: Final = 3
--- a/packages/node/src/zinniaweir/node/ports.py
+++ b/packages/node/src/zinniaweir/node/ports.py
@@ -106,7 +106,6 @@
         self,
         records: list[KeyedRecord],
         *,
-        at: int | None = None,
         fence: Fence | None = None,
         patience_seconds: float | None = None,
     ) -> int:
@@ -114,7 +113,6 @@
 
         Args:
             records: The records.
-            at: Append only if the stream ends here.
             fence: Marks an owner's append.
             patience_seconds: Time for the answer, the adapter's own by default.
         """
--- a/packages/node/src/zinniaweir/node/relay.py
+++ b/packages/node/src/zinniaweir/node/relay.py
@@ -39,9 +39,8 @@
 class RelayLog:
     """Call the log, or another VM's if the log refuses this one.
 
-    Only calls that may be repeated go on to another VM after one without an answer: reads, an
-    owner's appends with their sequence numbers, and callers' records, of which the first counts.
-    An append on condition is repeated only if it certainly had no effect.
+    All calls may be repeated after one without an answer: reads, an owner's appends with their
+    sequence numbers, and callers' records, of which the first counts.
 
     Args:
         direct: The log itself.
@@ -79,7 +78,7 @@
 
     async def newest(self, stream: Stream, *, after: str = "") -> Page:
         """Return a page of the newest record of each key."""
-        return await self._call(lambda target: target.newest(stream, after=after), repeatable=True)
+        return await self._call(lambda target: target.newest(stream, after=after))
 
     async def read(
         self, stream: Stream, start: int, *, wait_seconds: float, patience_seconds: float
@@ -88,27 +87,22 @@
         return await self._call(
             lambda target: target.read(
                 stream, start, wait_seconds=wait_seconds, patience_seconds=patience_seconds
-            ),
-            repeatable=True,
+            )
         )
 
     async def append(
         self,
         records: list[KeyedRecord],
         *,
-        at: int | None = None,
         fence: Fence | None = None,
         patience_seconds: float | None = None,
     ) -> int:
         """Append records to the jobs' stream."""
         return await self._call(
-            lambda target: target.append(
-                records, at=at, fence=fence, patience_seconds=patience_seconds
-            ),
-            repeatable=at is None,
+            lambda target: target.append(records, fence=fence, patience_seconds=patience_seconds)
         )
 
-    async def _call(self, call: Callable[[Log], Awaitable[T]], *, repeatable: bool) -> T:
+    async def _call(self, call: Callable[[Log], Awaitable[T]]) -> T:
         now = time.monotonic()
         failure: NothingDoneError | NoAnswerError = NothingDoneError("the log is not tried yet")
         if not self._direct_failing or now >= self._direct_again_at:
@@ -117,22 +111,17 @@
                 result = await call(self._direct)
             except (NothingDoneError, NoAnswerError) as error:
                 self._direct_failed(error)
-                if isinstance(error, NoAnswerError) and not repeatable:
-                    raise
                 failure = error
             else:
                 self._direct_served()
                 return result
-        return await self._through_peers(call, failure, repeatable=repeatable)
+        return await self._through_peers(call, failure)
 
     async def _through_peers(
         self,
         call: Callable[[Log], Awaitable[T]],
         failure: NothingDoneError | NoAnswerError,
-        *,
-        repeatable: bool,
     ) -> T:
-        unknown = isinstance(failure, NoAnswerError)
         for address in self._usable_peers():
             try:
                 result = await call(self._peers.log_of(address))
@@ -140,14 +129,10 @@
                 self._counters.add("relay_failures", reason=type(error).__name__)
                 self._paused[address] = time.monotonic() + PEER_PAUSE_SECONDS
                 if isinstance(error, NoAnswerError):
-                    unknown, failure = True, error
-                    if not repeatable:
-                        raise
+                    failure = error
                 continue
             self._counters.add("relayed_calls")
             return result
-        if unknown and not isinstance(failure, NoAnswerError):
-            raise NoAnswerError(str(failure))
         raise failure
 
     def _usable_peers(self) -> list[str]:
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -45,8 +45,10 @@
     """Appends that take effect and are not answered."""
     refuse: Callable[[], bool] = lambda: False
     epoch: int = 0
+    sequence: int = 0
     answered: dict[tuple[int, int], int] = field(default_factory=dict)
     appended: int = 0
+    append_seconds: float = 0.0
 
     def put(self, stream: Stream, key: str, value: bytes | None) -> None:
         records = self.streams[stream]
@@ -74,11 +76,11 @@
         self,
         records: list[KeyedRecord],
         *,
-        at: int | None = None,
         fence: Fence | None = None,
         patience_seconds: float | None = None,
     ) -> int:
         await self._reach()
+        await asyncio.sleep(self.append_seconds)
         if self.refuse():
             raise NothingDoneError("refused")
         stream = self.streams[Stream.JOBS]
@@ -88,14 +90,14 @@
                 return known
             if fence.epoch < self.epoch:
                 raise SupersededError("fenced")
-        if at is not None and at != len(stream):
-            raise SupersededError("condition")
+            if fence.epoch == self.epoch and fence.sequence != self.sequence + 1:
+                raise SupersededError("sequence")
         offset = len(stream)
         for record in records:
             stream.append(replace(record, offset=len(stream)))
         self.appended += 1
         if fence is not None:
-            self.epoch = fence.epoch
+            self.epoch, self.sequence = fence.epoch, fence.sequence
             self.answered[fence.epoch, fence.sequence] = offset
         if self.lose_answers:
             self.lose_answers -= 1
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -229,3 +229,24 @@
                 await until(lambda: len(workers.started) >= 1)
 
     run(work())
+
+
+def test_ownership_is_claimed_while_a_slow_log_takes_other_records(memory_log: MemoryLog) -> None:
+    """Guards against claims that each lose to the next record of a caller."""
+
+    async def write() -> None:
+        while True:
+            memory_log.put(Stream.JOBS, "v/other", None)
+            await asyncio.sleep(0.02)
+
+    async def work() -> None:
+        nodes = [new_node(f"v{n}", memory_log, MemoryWorkers()) for n in range(3)]
+        memory_log.append_seconds = 0.1
+        writing = asyncio.create_task(write())
+        async with running(*nodes):
+            await until(lambda: any(node.owner for node in nodes), seconds=2.0)
+            await asyncio.sleep(0.3)
+            assert sum(node.owner is not None for node in nodes) == 1
+        writing.cancel()
+
+    run(work())
