--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -20,6 +20,7 @@
     "job_taken": "an owner took a job from the log",
     "log_reachable": "the log serves this VM again",
     "log_unreachable": "the log does not serve this VM, calls go through other VMs",
+    "metrics_unavailable": "the port for metrics is taken; the ready address serves them too",
     "owner_append_delayed": "an append of the owner takes longer than a second",
     "owner_began": "this VM owns scheduling",
     "owner_ended": "this VM does not own scheduling any more",
