node: waits that follow a slow log

Ruled out: lost answers alone (reads failed as well). Change: waits grow with the time that answers take; the silence after which an owner is replaced grows with the slowness that reads show; nothing is placed on a view older than 1.1 s.

--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -21,6 +21,8 @@
 
 VIEW_SECONDS: Final = 1.5
 """Nothing starts on an older view of drains and evacuations; their shortest bound is 2 s."""
+PLACE_VIEW_SECONDS: Final = 1.1
+"""Nothing is placed on an older view, so that it can still be recorded and started in time."""
 MAX_RESERVATIONS: Final = 2
 """Units that room is kept for at one time; more would leave too much idle."""
 PREEMPTION_SECONDS: Final = 1.2
@@ -107,7 +109,7 @@
         """
         open_jobs = [job for job in jobs if not job.closed]
         waiting = [job for job in open_jobs if any(True for _ in job.ready_units())]
-        if not waiting:
+        if not waiting or now - self._view_at > PLACE_VIEW_SECONDS:
             return
         covered = covered_jobs(open_jobs, self._guaranteed)
         one_pass = _Pass(self, now=now, place=place, stop=stop)
--- a/packages/node/src/zinniaweir/node/candidacy.py
+++ b/packages/node/src/zinniaweir/node/candidacy.py
@@ -10,6 +10,11 @@
 """How often an owner renews its claim."""
 SILENCE_SECONDS: Final = 1.2
 """An owner that renewed nothing on a readable log for this long is replaced."""
+CALM_INTERVAL_SECONDS: Final = 0.45
+"""Time between reads of a log that answers at once; what is beyond tells how slow it is."""
+SLOW_FACTOR: Final = 4.0
+"""A slow log delays a renewal by its append, a reply, and the read that shows it."""
+SLOW_WEIGHT: Final = 0.3
 GAP_SECONDS: Final = 1.0
 """A longer gap between good reads is an outage: the owner gets its time anew."""
 
@@ -32,6 +37,7 @@
         self._delay = delay
         self._seen: tuple[int, int, bool] | None = None
         self._quiet_since: float | None = None
+        self._slowness = 0.0
 
     def read(self, claim: OwnerClaim | None, *, previous_at: float, at: float) -> None:
         """Take a good read of the log.
@@ -41,6 +47,9 @@
             previous_at: When the good read before was sent, in seconds.
             at: When this one was sent.
         """
+        if at - previous_at <= GAP_SECONDS:
+            beyond = max(at - previous_at - CALM_INTERVAL_SECONDS, 0.0)
+            self._slowness += SLOW_WEIGHT * (beyond - self._slowness)
         seen = (claim.epoch, claim.beat, claim.released) if claim else None
         if self._quiet_since is None or seen != self._seen or at - previous_at > GAP_SECONDS:
             self._quiet_since = at
@@ -59,4 +68,5 @@
             return True
         if claim.vm == self._vm and claim.incarnation != self._incarnation:
             return True
-        return fresh_at - self._quiet_since >= self._delay + SILENCE_SECONDS
+        allowed = SILENCE_SECONDS + SLOW_FACTOR * self._slowness
+        return fresh_at - self._quiet_since >= self._delay + allowed
--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -55,7 +55,8 @@
         self._stream = stream
         self._reset = reset
         self._apply = apply
-        self._wait_seconds = wait_seconds
+        self.wait_seconds = wait_seconds
+        """How long a read waits for a record."""
         self.pause_seconds = pause_seconds
         """Least time between two reads, in seconds."""
         self._counters = counters
@@ -113,7 +114,7 @@
         if self._next is None:
             await self._load()
         else:
-            await self._read(self._wait_seconds if self._patience.calm else 0.0)
+            await self._read(self.wait_seconds if self._patience.calm else 0.0)
 
     async def _load(self) -> None:
         async with self._loading:
@@ -165,7 +166,7 @@
     def _good(self, sent_at: float) -> None:
         since = self._fresh_at
         self._fresh_at = max(since, sent_at)
-        self._patience.answered()
+        self._patience.answered(max(time.monotonic() - sent_at - self.wait_seconds, 0.0))
         if self._lost:
             self._lost = False
             log("dependency_regained", dependency=f"log/{self._stream}", offset=self._next)
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -23,7 +23,12 @@
 )
 from zinniaweir.node.relay import Peers, RelayLog
 from zinniaweir.node.service import Service
-from zinniaweir.node.view import REPLICA_PAUSE_SECONDS, View
+from zinniaweir.node.view import (
+    OWNER_READ_SECONDS,
+    READ_SECONDS,
+    REPLICA_PAUSE_SECONDS,
+    View,
+)
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
 from zinniaweir.telemetry.timers import Timers
@@ -241,6 +246,7 @@
             timers=self._timers,
         )
         self._view.jobs.pause_seconds = 0.0
+        self._view.operators.wait_seconds = OWNER_READ_SECONDS
         following = asyncio.create_task(self._view.workers.run())
         started = time.monotonic()
         try:
@@ -251,6 +257,7 @@
             self._ended_epoch = claim.epoch
             following.cancel()
             self._view.jobs.pause_seconds = REPLICA_PAUSE_SECONDS
+            self._view.operators.wait_seconds = READ_SECONDS
             self._counters.add("ownerships", reason="ended")
             log("ownership_ended", epoch=claim.epoch, seconds=round(time.monotonic() - started, 2))
 
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -40,6 +40,7 @@
         self._epoch = epoch
         self._counters = counters
         self._sequence = sequence
+        self._patience = Patience()
         self._confirmed_at = time.monotonic()
         self._pending_since: float | None = None
 
@@ -66,18 +67,17 @@
     async def _write_call(self, records: list[KeyedRecord], fence: Fence) -> None:
         self._pending_since = started = time.monotonic()
         slow = False
-        patience = Patience()
         try:
             while True:
                 sent_at = time.monotonic()
                 try:
                     await self._log_port.append(
-                        records, fence=fence, patience_seconds=patience.seconds
+                        records, fence=fence, patience_seconds=self._patience.seconds
                     )
                 except (NothingDoneError, NoAnswerError) as error:
                     self._counters.add("owner_append_retries", reason=type(error).__name__)
                     if isinstance(error, NoAnswerError):
-                        patience.unanswered()
+                        self._patience.unanswered()
                     if not slow and sent_at - started > SLOW_SECONDS:
                         slow = True
                         log("owner_append_delayed", sequence=fence.sequence, error=str(error))
@@ -85,6 +85,7 @@
                         await asyncio.sleep(RETRY_SECONDS)
                     continue
                 self._confirmed_at = sent_at
+                self._patience.answered(time.monotonic() - sent_at)
                 return
         finally:
             self._pending_since = None
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -60,6 +60,7 @@
         self._view = view
         self._log_port = log_port
         self._counters = counters
+        self._patience = Patience()
 
     @property
     def ready(self) -> bool:
@@ -168,15 +169,16 @@
         until = by - ANSWER_MARGIN_SECONDS
         refuse_at = min(until, time.monotonic() + REFUSE_SECONDS)
         unknown = False
-        patience = Patience()
         while True:
             try:
-                async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
-                    await self._log_port.append([record], patience_seconds=patience.seconds)
+                sent_at = time.monotonic()
+                async with asyncio.timeout(max(until - sent_at, 0.0)):
+                    await self._log_port.append([record], patience_seconds=self._patience.seconds)
+                self._patience.answered(time.monotonic() - sent_at)
                 return Accepted()
             except (NoAnswerError, TimeoutError):
                 unknown = True
-                patience.unanswered()
+                self._patience.unanswered()
                 self._counters.add("append_retries", reason="no_answer")
             except NothingDoneError:
                 self._counters.add("append_retries", reason="nothing_done")
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -27,8 +27,8 @@
 """The same for the jobs' stream, which tells when an owner falls silent."""
 REPLICA_PAUSE_SECONDS: Final = 0.1
 """Least time between reads of the jobs' stream on a VM that does not own scheduling."""
-WORKERS_READ_SECONDS: Final = 0.25
-"""The same for the workers' stream, where the age of what is known delays starts."""
+OWNER_READ_SECONDS: Final = 0.25
+"""The same for the streams on which the owner's starts depend."""
 WORKERS_PAUSE_SECONDS: Final = 0.25
 """Least time between reads of the workers' stream, which changes with each heartbeat."""
 
@@ -62,7 +62,7 @@
             Stream.WORKERS,
             self._reset_workers,
             self._apply_worker,
-            WORKERS_READ_SECONDS,
+            OWNER_READ_SECONDS,
         )
         """Follows the list of workers; run by the owner alone."""
         self.jobs.pause_seconds = REPLICA_PAUSE_SECONDS
--- a/packages/node/tests/test_candidacy.py
+++ b/packages/node/tests/test_candidacy.py
@@ -57,3 +57,13 @@
 def test_nothing_is_claimed_before_the_log_was_read() -> None:
     """Guards against a claim on an unknown state."""
     assert not candidacy().should_claim(None, fresh_at=0.0)
+
+
+def test_a_slow_log_gives_its_owner_more_time() -> None:
+    """Guards against a takeover since renewals are slow, which makes a slow log slower still."""
+    slow = candidacy()
+    for n in range(10):
+        slow.read(claim(beat=n), previous_at=n * 0.75 - 0.75, at=n * 0.75)
+    last = 9 * 0.75
+    assert not slow.should_claim(claim(beat=9), fresh_at=last + 1.5)
+    assert slow.should_claim(claim(beat=9), fresh_at=last + 3.0)
