dispatch: a rejected copy of a start does not settle an unanswered one

A start without an answer is sent again; if the first copy was carried out and the second was rejected as late, old or by an unhealthy worker, the seat was taken for free and the task started elsewhere. Ruled out: the end of inherited leases (no lease was renewed). Change: after an unanswered copy a rejection leads to a stop, whose acknowledgement settles the run.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -237,13 +237,30 @@
                 seat.settled_at = now
                 self._mark_started(seat, now)
             case StartAnswer.UNKNOWN | StartAnswer.NOT_SENT:
-                self._log("start_unanswered", task=seat.task, run=seat.run, worker=seat.worker)
+                seat.unanswered = seat.unanswered or answer is StartAnswer.UNKNOWN
+                self._log(
+                    "start_unanswered",
+                    task=seat.task,
+                    run=seat.run,
+                    worker=seat.worker,
+                    sent=answer is StartAnswer.UNKNOWN,
+                )
             case StartAnswer.STALE_EPOCH:
                 pass
             case _:
-                if answer is StartAnswer.UNHEALTHY:
-                    self._health.refused(seat.worker, now=now)
-                self._end(seat, End.LOST, "", now, cause=f"start_{answer}")
+                self._start_rejected(seat, answer, now)
+
+    def _start_rejected(self, seat: Assignment, answer: StartAnswer, now: float) -> None:
+        """End a seat whose start was rejected, unless an earlier copy may have taken effect.
+
+        An acknowledged stop then settles it: it rejects the run for good, or ends it.
+        """
+        if answer is StartAnswer.UNHEALTHY:
+            self._health.refused(seat.worker, now=now)
+        if seat.unanswered and answer is not StartAnswer.OTHER_LIFE:
+            self._stop_unit(seat.unit, f"start_{answer}", now)
+        else:
+            self._end(seat, End.LOST, "", now, cause=f"start_{answer}")
 
     def stop_sent(self, seat: Assignment, *, now: float) -> None:
         """Note that a stop is on its way."""
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -29,6 +29,8 @@
     first_sent_at: float | None = None
     sent_at: float | None = None
     start_in_flight: bool = False
+    unanswered: bool = False
+    """A copy of the start brought no answer, so it may have taken effect."""
     start_deadline_ms: int = 0
     """On the worker's clock; a later arrival is rejected."""
     settled_at: float | None = None
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from zinniaweir.dispatch.messages import End, StartAnswer
 from zinniaweir.dispatch.units import OwnedJob
 from zinniaweir.workloads.book import JobEntry
@@ -229,3 +231,50 @@
 def test_a_successor_of_a_silent_owner_waits_for_its_renewals_too(world: World) -> None:
     """Guards against two runs while a superseded owner still renews a lease."""
     assert 11.0 < takeover_from_a_lost_worker(world, predecessor_gone=False) < 12.0
+
+
+@pytest.mark.parametrize(
+    "answer", [StartAnswer.TOO_LATE, StartAnswer.UNHEALTHY, StartAnswer.OLD_RUN]
+)
+def test_a_rejected_copy_says_nothing_of_an_unanswered_one(
+    world: World, answer: StartAnswer
+) -> None:
+    """Guards against a task that is started elsewhere while its first order was carried out."""
+    world.seconds = 30.0
+    world.add(job("j1"))
+    world.dispatcher.update_workers([f.entry for f in world.workers.values()], now=world.now)
+    world.dispatcher.confirm_view(world.now)
+    world.look()
+    world.dispatcher.plan(now=world.now)
+    world.write()
+    (seat,) = world.seats("j1")
+    world.start(seat)
+    seat.started, seat.settled_at = False, None
+    world.dispatcher.start_answered(seat, StartAnswer.UNKNOWN, now=world.now)
+    world.now += 0.4
+    assert world.dispatcher.start_sent(seat, now=world.now)
+    world.dispatcher.start_answered(seat, answer, now=world.now)
+    assert list(world.seats("j1")) == [seat]
+    world.run(0.3)
+    runs = [key for fake in world.workers.values() for key in fake.runs]
+    assert len(runs) <= 1
+
+
+def test_a_copy_that_ended_before_its_answer_is_done_once(world: World) -> None:
+    """Guards against a second run of a task that was done while its answers were lost."""
+    world.add(job("j1"))
+    world.dispatcher.update_workers([f.entry for f in world.workers.values()], now=world.now)
+    world.dispatcher.confirm_view(world.now)
+    world.look()
+    world.dispatcher.plan(now=world.now)
+    world.write()
+    (seat,) = world.seats("j1")
+    world.start(seat)
+    seat.started, seat.settled_at = False, None
+    world.dispatcher.start_answered(seat, StartAnswer.UNKNOWN, now=world.now)
+    world.workers[seat.worker].end((seat.task, seat.run), End.DONE)
+    assert world.dispatcher.start_sent(seat, now=world.now)
+    world.dispatcher.start_answered(seat, StartAnswer.OLD_RUN, now=world.now)
+    world.run(1.0)
+    assert world.state("j1") == "complete"
+    assert world.dispatcher.jobs["j1"].units[0].run == 1
