--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -101,6 +101,8 @@
         self.durations: dict[str, float] = {}
         self.records: list[Any] = []
         self.seconds = 2.0
+        self.hanging: set[str] = set()
+        """Workers on which all stands still after a tenth of the work."""
         self.dispatcher = self.new_dispatcher()
 
     def new_dispatcher(self, *, predecessor_gone: bool = True) -> Dispatcher:
@@ -135,7 +137,8 @@
             worker.lease_until_ms = max(worker.lease_until_ms, until)
             fake.ended = [row for row in fake.ended if row.number > worker.noted]
             running = tuple(
-                RunningRow(task=task, run=run, checkpoint="", percent=0) for task, run in fake.runs
+                RunningRow(task=task, run=run, checkpoint="", percent=self.percent(fake, found))
+                for (task, run), found in fake.runs.items()
             )
             listing = Listing(
                 life=fake.entry.life,
@@ -145,6 +148,14 @@
             )
             self.dispatcher.listing(worker, listing, asked_at=self.now - 0.001, now=self.now)
 
+    def percent(self, fake: FakeWorker, run: FakeRun) -> int:
+        if self.hanging:
+            members = [s.worker for s in run.seat.unit.seats.values()]
+            if fake.entry.worker in self.hanging or self.hanging & set(members):
+                return 10
+        seconds = self.durations.get(run.seat.task.job_id, self.seconds)
+        return max(1, min(99, int(100 - 100 * (run.ends_at - self.now) / seconds)))
+
     def start(self, seat: Assignment) -> None:
         if not self.dispatcher.start_sent(seat, now=self.now):
             return
@@ -167,7 +178,7 @@
         self.dispatcher.confirm_view(self.now)
         for fake in self.workers.values():
             for key, run in list(fake.runs.items()):
-                if self.now >= run.ends_at:
+                if self.now >= run.ends_at and self.percent(fake, run) > 10:
                     fake.end(key, End.FAILED if fake.fails else End.DONE)
         self.look()
         self.dispatcher.plan(now=self.now)
