--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
     TaskId,
     WorkerEntry,
 )
-from zinniaweir.dispatch.ordering import URGENT_PRIORITY, objective
+from zinniaweir.dispatch.ordering import objective
 from zinniaweir.dispatch.planning import Planner
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runtimes import RunTimes
@@ -396,19 +396,9 @@
         if row.percent != seat.percent or not seat.percent_at:
             seat.percent, seat.percent_at = row.percent, now
         elif row.percent and now - seat.percent_at > STALL_SECONDS:
-            self._stands_still(seat, now)
-
-    def _stands_still(self, seat: Assignment, now: float) -> None:
-        """Avoid a worker on which a task stands still, and move urgent work elsewhere.
-
-        All members of a gang stand still when one does, so a gang blames no worker by itself.
-        """
-        unit = seat.unit
-        if len(unit.indexes) == 1:
-            self._health.stalled(seat.worker, now=now)
-        if unit.job.terms.priority == URGENT_PRIORITY and not seat.stop_reason:
-            unit.blamed.update(s.worker for s in unit.seats.values())
-            self._stop_unit(unit, "stands_still", now)
+            # All members of a gang stand still when one does, so a gang blames no worker.
+            if len(seat.unit.indexes) == 1:
+                self._health.stalled(worker.name, now=now)
 
     def _take_end(self, worker: Worker, row: EndRow, now: float) -> None:
         if row.number <= worker.taken:
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -66,7 +66,7 @@
     run_checkpoint: str = ""
     """Checkpoint that the newest run starts from; all members of a gang carry the same."""
     blamed: set[str] = field(default_factory=set)
-    """Workers on which it failed or stood still."""
+    """Workers on which it failed."""
     seats: dict[int, Assignment] = field(default_factory=dict)
     """Assignments of the newest run that may still be in use, by index."""
     waiting_since: float = 0.0
