dispatch: room that is kept for a gang does not idle the cluster

Change: on a cluster that is less than half in use a job with nothing running waits at most 1.5 s for kept room; a rack counts as large enough only with workers that will be usable; nothing is kept that is free already. The test fails without the change.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -395,10 +395,13 @@
             self._mark_started(seat, now)
         if row.percent != seat.percent or not seat.percent_at:
             seat.percent, seat.percent_at = row.percent, now
-        elif row.percent and now - seat.percent_at > STALL_SECONDS:
+        elif (
+            row.percent
+            and now - seat.percent_at > STALL_SECONDS
             # All members of a gang stand still when one does, so a gang blames no worker.
-            if len(seat.unit.indexes) == 1:
-                self._health.stalled(worker.name, now=now)
+            and len(seat.unit.indexes) == 1
+        ):
+            self._health.stalled(worker.name, now=now)
 
     def _take_end(self, worker: Worker, row: EndRow, now: float) -> None:
         if row.number <= worker.taken:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -32,6 +32,10 @@
 that it takes itself are lost; other work has seconds to spare, urgent work has not."""
 STOPPING_SECONDS: Final = 0.6
 """Expected time until a stopped task has left."""
+IDLE_WAIT_SECONDS: Final = 1.5
+"""A job with nothing running waits no longer than this for room that is kept on an idle cluster."""
+IDLE_SHARE: Final = 0.5
+"""A cluster with less than this share of its accelerators in use is idle."""
 LARGE_SHARE: Final = 0.5
 """A task that wants more than this share of a worker gets room kept for it."""
 
@@ -82,6 +86,14 @@
         """Note that settings and the list of workers were read at a time."""
         self._view_at = max(self._view_at, at)
 
+    def lasting(self, worker: Worker) -> bool:
+        """Return whether a worker that is not usable now will soon be."""
+        return (
+            worker.missing_since is None
+            and not worker.entry.draining
+            and worker.entry.failure_domain not in self._evacuated
+        )
+
     def obstacle(self, worker: Worker, now: float) -> str:
         """Return why a worker may not be given work now, empty if it may."""
         if now - self._view_at > VIEW_SECONDS:
@@ -163,12 +175,16 @@
         self._stop = stop
         self._all = list(planner._fleet)
         self._usable = [w for w in self._all if not planner.obstacle(w, now)]
+        total = sum(w.entry.accelerators for w in self._usable)
+        used = sum(w.used_accelerators for w in self._usable)
+        self._idle = used < IDLE_SHARE * total
         self._full: set[tuple[object, ...]] = set()
         self._reservations: list[Reservation] = []
 
     def try_unit(self, unit: Unit, found: Rank, *, covered: bool) -> None:
         """Place a unit, or keep or make room for it."""
-        shape = _shape(unit)
+        # Room that is kept for others is open to some units and not to others of the same shape.
+        shape = (*_shape(unit), unit.job.job_id if self._reservations else "")
         if shape in self._full:
             return
         spread = self._spread_allowed(unit)
@@ -224,6 +240,8 @@
         return unblamed if len(unblamed) >= len(unit.indexes) else workers
 
     def _open_to(self, unit: Unit, worker: Worker) -> bool:
+        if self._idle and self._waits_with_nothing_running(unit):
+            return True
         for reservation in self._reservations:
             if worker.name not in reservation.workers:
                 continue
@@ -232,10 +250,14 @@
                 return False
         return True
 
+    def _waits_with_nothing_running(self, unit: Unit) -> bool:
+        waited = self._now - unit.waiting_since
+        return waited > IDLE_WAIT_SECONDS and not any(unit.job.seats)
+
     def _spread_allowed(self, unit: Unit) -> bool:
         if not unit.step.rack_local or len(unit.indexes) == 1:
             return True
-        allowed = [w for w in self._all if allowed_on(unit, w) and not w.entry.draining]
+        allowed = [w for w in self._all if allowed_on(unit, w) and self._planner.lasting(w)]
         return fewest_racks(allowed, unit) < len(unit.indexes)
 
     def _make_room(
@@ -280,7 +302,7 @@
             free_at=lambda w: self._free_at(w, unit.step),
             one_rack=unit.step.rack_local and not spread,
         )
-        if reservation is not None:
+        if reservation is not None and reservation.ready_at > self._now:
             self._reservations.append(reservation)
 
     def _free_at(self, worker: Worker, step: StepSpec) -> float:
--- a/packages/dispatch/tests/test_planning.py
+++ b/packages/dispatch/tests/test_planning.py
@@ -166,3 +166,19 @@
     world.run(4.0)
     usable = [w for w in world.workers if world.dispatcher.health.usable(w, now=world.now)]
     assert {"r0w1", "r0w2", "r0w3"} <= set(usable)
+
+
+def test_a_gang_that_waits_for_the_whole_cluster_lets_others_use_idle_workers() -> None:
+    """Guards against a job with nothing running while most of the cluster is kept free."""
+    world = World(*racks(1, 8))
+    world.seconds = 30.0
+    world.add(job("blocker", LARGE))
+    world.run(0.3)
+    world.add(job("wide", gang(8, estimate_ms=8_000), slack_factor=2.0))
+    world.run(0.3)
+    long = StepSpec(count=1, accelerators=1, estimate_ms=60_000)
+    world.add(job("small", long, slack_factor=9.0))
+    world.run(1.0)
+    assert not list(world.seats("small"))
+    world.run(1.5)
+    assert any(seat.started for seat in world.seats("small"))
