--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Final
 
 from zinniaweir.dispatch.fleet import GONE_SECONDS, SILENCE_SECONDS, Fleet, Worker
 from zinniaweir.dispatch.health import STALL_SECONDS, Health
+from zinniaweir.dispatch.inheritance import Inheritance
 from zinniaweir.dispatch.messages import (
     End,
     EndRow,
@@ -83,7 +84,9 @@
         reporter: Reporter,
     ) -> None:
         renewed_until = now if predecessor_gone else now + bounds.renewal_seconds
-        self._inherited_until = renewed_until + CLOCK_MARGIN * bounds.longest_lease_seconds
+        self._inheritance = Inheritance(
+            until=renewed_until + CLOCK_MARGIN * bounds.longest_lease_seconds
+        )
         self._bounds = bounds
         self._reporter = reporter
         self._log = reporter.log
@@ -95,7 +98,6 @@
         self._dirty: dict[str, OwnedJob] = {}
         self._placed: list[Assignment] = []
         self._notes: dict[str, Note] = {}
-        self._orphans: dict[tuple[str, int], dict[tuple[TaskId, int], Assignment]] = {}
         self._strays: list[tuple[str, TaskId, int]] = []
         self._planner = Planner(
             fleet=self._fleet,
@@ -173,7 +175,7 @@
         for worker in self._fleet.update(entries, now=now):
             self._lose_all(worker, "worker_born_again", now)
         for worker in self._fleet:
-            self._claim_orphans(worker, now)
+            self._hand_over(worker, now)
 
     def listing(self, worker: Worker, listing: Listing, *, asked_at: float, now: float) -> None:
         """Take a worker's lists.
@@ -193,6 +195,8 @@
         if worker.listed_at is None:
             self._log("worker_listed", worker=worker.name, running=len(listing.running))
         worker.listed_at = asked_at
+        if listing.strangers:
+            self._count("strange_runs", "listed")
         for row in listing.ended:
             self._take_end(worker, row, now)
         present = set()
@@ -339,18 +343,6 @@
             if worker is not None and worker.entry.life == note.life:
                 worker.noted = max(worker.noted, note.number)
 
-    def explain(self, job_id: str) -> dict[str, Any]:
-        """Return what is known of a job, for logs and pages."""
-        job = self._jobs.get(job_id)
-        if job is None:
-            return {"known": False}
-        waiting = [unit.waiting_since for unit in job.ready_units()]
-        return {
-            "state": str(job.state),
-            "waiting": len(waiting),
-            "seats": sum(1 for _ in job.seats),
-        }
-
     def _expired(self, job: OwnedJob, now: float) -> bool:
         return (
             job.ended_at is not None
@@ -363,19 +355,15 @@
         if worker is not None and worker.entry.life == seat.life:
             worker.seat(seat)
             return
-        orphans = self._orphans.setdefault((seat.worker, seat.life), {})
-        orphans[seat.task, seat.run] = seat
+        self._inheritance.add(seat)
 
-    def _claim_orphans(self, worker: Worker, now: float) -> None:
+    def _hand_over(self, worker: Worker, now: float) -> None:
         """Hand seats of a former owner to the worker, or end those of its earlier lives."""
-        for name, life in list(self._orphans):
-            if name != worker.name or life > worker.entry.life:
-                continue
-            for seat in self._orphans.pop((name, life)).values():
-                if life == worker.entry.life:
-                    worker.seat(seat)
-                else:
-                    self._end(seat, End.LOST, "", now, cause="worker_born_again")
+        for seat in self._inheritance.take(worker.name, worker.entry.life):
+            if seat.life == worker.entry.life:
+                worker.seat(seat)
+            else:
+                self._end(seat, End.LOST, "", now, cause="worker_born_again")
 
     def _worker_of(self, seat: Assignment) -> Worker | None:
         worker = self._fleet.get(seat.worker)
@@ -568,7 +556,8 @@
             self._end(seat, End.LOST, "", now, cause=cause)
 
     def _expire(self, now: float) -> None:
-        self._expire_orphans(now)
+        for seat in self._inheritance.take_lapsed(now):
+            self._end(seat, End.LOST, "", now, cause="lease_over")
         for worker in list(self._fleet):
             self._expire_worker(worker, now)
             self._stop_partial_gangs(worker, now)
@@ -586,19 +575,11 @@
     def _lease_over(self, worker: Worker, now: float) -> bool:
         inherited = any(seat.inherited for seat in worker.seats.values())
         if worker.listed_at is None or inherited:
-            if now < self._inherited_until:
+            if not self._inheritance.lapsed(now):
                 return False
             return not worker.clock.known or worker.lapsed(now)
         return worker.lapsed(now)
 
-    def _expire_orphans(self, now: float) -> None:
-        if not self._orphans or now < self._inherited_until:
-            return
-        orphans, self._orphans = self._orphans, {}
-        for seats in orphans.values():
-            for seat in seats.values():
-                self._end(seat, End.LOST, "", now, cause="lease_over")
-
     def _stop_partial_gangs(self, worker: Worker, now: float) -> None:
         for seat in list(worker.seats.values()):
             late = seat.first_sent_at is not None and now - seat.first_sent_at > GANG_SECONDS
--- /dev/null
+++ b/packages/dispatch/src/zinniaweir/dispatch/inheritance.py
@@ -0,0 +1,47 @@
+"""Seats of a former owner on workers that this owner has not met."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from zinniaweir.dispatch.messages import TaskId
+from zinniaweir.dispatch.units import Assignment
+
+
+class Inheritance:
+    """Keep seats until their worker is met, or until every lease has certainly lapsed.
+
+    Args:
+        until: When the last lease that a former owner can have renewed has lapsed, in seconds.
+    """
+
+    def __init__(self, *, until: float) -> None:
+        self._until = until
+        self._seats: dict[tuple[str, int], dict[tuple[TaskId, int], Assignment]] = {}
+
+    def lapsed(self, now: float) -> bool:
+        """Return whether no lease of a former owner is left."""
+        return now >= self._until
+
+    def add(self, seat: Assignment) -> None:
+        """Keep a seat."""
+        self._seats.setdefault((seat.worker, seat.life), {})[seat.task, seat.run] = seat
+
+    def take(self, worker: str, life: int) -> Iterator[Assignment]:
+        """Return and drop the seats on a worker's present life and on its earlier ones.
+
+        Args:
+            worker: The worker.
+            life: Its present life.
+        """
+        for name, then in list(self._seats):
+            if name == worker and then <= life:
+                yield from self._seats.pop((name, then)).values()
+
+    def take_lapsed(self, now: float) -> Iterator[Assignment]:
+        """Return and drop all seats once every lease has lapsed."""
+        if not self.lapsed(now):
+            return
+        seats, self._seats = self._seats, {}
+        for group in seats.values():
+            yield from group.values()
--- a/packages/dispatch/src/zinniaweir/dispatch/reserving.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/reserving.py
@@ -19,7 +19,6 @@
 class Reservation:
     """Workers that are kept for a unit."""
 
-    unit: Unit
     workers: frozenset[str]
     ready_at: float
     """When they are expected to be free, in seconds."""
@@ -45,7 +44,6 @@
         return None
     best = min(found, key=lambda chosen: max(free_at(w) for w in chosen))
     return Reservation(
-        unit=unit,
         workers=frozenset(w.name for w in best),
         ready_at=max(free_at(w) for w in best),
     )
--- a/packages/node/src/zinniaweir/node/answers.py
+++ b/packages/node/src/zinniaweir/node/answers.py
@@ -14,8 +14,8 @@
     NO_SETTINGS = "no_settings"
     VIEW_TOO_OLD = "view_too_old"
     LOG_UNAVAILABLE = "log_unavailable"
-    CANNOT_FIT = "cannot_fit"
-    OVERLOADED = "overloaded"
+    UNSUPPORTED = "unsupported"
+    """The queue needs what this version does not do."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -70,9 +70,9 @@
     def unfit(self) -> Refused | None:
         """Return a refusal if the VM knows too little to answer anything."""
         if self._view.configuration is None:
-            return self._refuse(Refusal.NO_SETTINGS)
+            return self.refuse(Refusal.NO_SETTINGS)
         if self._view.operators.age > STALE_SECONDS:
-            return self._refuse(Refusal.VIEW_TOO_OLD)
+            return self.refuse(Refusal.VIEW_TOO_OLD)
         return None
 
     async def submit(
@@ -134,9 +134,15 @@
     def pending(self, terms: QueueTerms) -> Pending | Refused:
         """Return how many jobs of a queue wait."""
         if self._view.age > STALE_SECONDS:
-            return self._refuse(Refusal.VIEW_TOO_OLD)
+            return self.refuse(Refusal.VIEW_TOO_OLD)
         return Pending(count=self._view.book.pending(terms.name))
 
+    def refuse(self, reason: Refusal) -> Refused:
+        """Return a refusal, and when to come back."""
+        self._counters.add("refusals", reason=reason)
+        long = self._view.age > LONG_OUTAGE_SECONDS
+        return Refused(reason=reason, retry_after_seconds=LATER_SECONDS if long else SOON_SECONDS)
+
     @property
     def _version(self) -> int:
         configuration = self._view.configuration
@@ -151,7 +157,7 @@
             try:
                 await self._view.jobs.catch_up()
             except LogError:
-                return self._refuse(Refusal.VIEW_TOO_OLD)
+                return self.refuse(Refusal.VIEW_TOO_OLD)
             entry = self._view.book.job(job_id)
         if entry is None or (customer and entry.submission.customer != customer.name):
             return UnknownJob()
@@ -165,7 +171,7 @@
             try:
                 await self._view.jobs.catch_up()
             except LogError:
-                return self._refuse(Refusal.LOG_UNAVAILABLE)
+                return self.refuse(Refusal.LOG_UNAVAILABLE)
         until = by - ANSWER_MARGIN_SECONDS
         refuse_at = min(until, time.monotonic() + REFUSE_SECONDS)
         unknown = False
@@ -193,9 +199,4 @@
         if unknown:
             self._counters.add("unknown_outcomes", reason="append")
             return OutcomeUnknown()
-        return self._refuse(Refusal.LOG_UNAVAILABLE)
-
-    def _refuse(self, reason: Refusal) -> Refused:
-        self._counters.add("refusals", reason=reason)
-        long = self._view.age > LONG_OUTAGE_SECONDS
-        return Refused(reason=reason, retry_after_seconds=LATER_SECONDS if long else SOON_SECONDS)
+        return self.refuse(Refusal.LOG_UNAVAILABLE)
--- a/packages/workloads/src/zinniaweir/workloads/queues.py
+++ b/packages/workloads/src/zinniaweir/workloads/queues.py
@@ -30,6 +30,9 @@
     prefix: str
     terms: QueueTerms
     anonymous: bool = False
+    """Whether callers need no key."""
+    advised: bool = False
+    """Whether the queue's tasks need tickets of advice."""
 
 
 @dataclass(frozen=True, kw_only=True)
