testkit: a table's rule is as wide as a node's name, so it is normalized like the name

Cause: golden/tests/test_cli_sessions.py::test_requests_and_jobs failed now and then, since only the name of the chosen node was replaced, not the rule that is as wide as it.

--- a/testkit/src/zinniaweir_testkit/transcript.py
+++ b/testkit/src/zinniaweir_testkit/transcript.py
@@ -34,6 +34,8 @@
     (re.compile(r'("(?:port|fresh_age_seconds)": )[\d.]+'), r"\1N"),
     (re.compile(r"^\d+ +TIME +", re.MULTILINE), "OFFSET TIME "),
     (re.compile(r"127\.0\.0\.1:\d+"), "HOST:PORT"),
+    # The rule below a table's head is as wide as the node that happened to be chosen.
+    (re.compile(r"^─{10,}$", re.MULTILINE), "─" * 10),
 )
 """Ids, times, log offsets, ports and the nodes that were chosen; all else is compared."""
 
