--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
     "names": "bench.names_bench",
     "routing": "bench.routing_bench",
     "capacity": "bench.capacity_bench",
+    "dispatch": "bench.dispatch.main",
 }
 """Module of each benchmark; it has `run(arguments)`."""
 
--- /dev/null
+++ b/bench/dispatch/main.py
@@ -0,0 +1,70 @@
+"""Measures the owner's decisions under load; `python -m bench dispatch [--seeds N]`."""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from typing import Final
+
+from bench.dispatch.replay import Figures, Replay
+from bench.dispatch.workloads import Burst, Deployment, arrivals, grown_aconcagua, grown_lakan
+
+SECONDS: Final = 34.0
+"""Jobs arrive for this long, as on a day of the deployments."""
+AFTER_SECONDS: Final = 14.0
+LOADS: Final = {
+    "usual": (1.0, ()),
+    "urgent-burst": (1.1, (Burst(kind="checks", factor=2.0, at=6.0, seconds=6.0),
+                           Burst(kind="counter", factor=2.0, at=6.0, seconds=6.0))),
+    "batch-burst": (1.1, (Burst(kind="sweeps", factor=2.7, at=7.0, seconds=4.0),
+                          Burst(kind="fees", factor=2.7, at=7.0, seconds=4.0))),
+    "large-burst": (1.0, (Burst(kind="traces", factor=2.6, at=7.0, seconds=4.0),
+                          Burst(kind="bulk", factor=2.6, at=7.0, seconds=4.0))),
+}  # fmt: skip
+"""Factor on all rates, and bursts, by name of the pattern."""
+
+
+def play(deployment: Deployment, *, load: str, seed: int) -> Figures:
+    """Play one seeded load on a deployment."""
+    replay = Replay(deployment=deployment)
+    factor, bursts = LOADS[load]
+    jobs = arrivals(
+        deployment, seed=seed, seconds=SECONDS, load=factor, bursts=bursts, racks=replay.racks
+    )
+    return replay.run(jobs, seconds=SECONDS + AFTER_SECONDS)
+
+
+def run(arguments: list[str]) -> None:
+    """Print a line for each deployment and load, as means over seeds."""
+    parser = argparse.ArgumentParser(prog="python -m bench dispatch")
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--load", default="")
+    parser.add_argument("--jobs", type=int, default=3)
+    options = parser.parse_args(arguments)
+    rows = [
+        (deployment, load)
+        for deployment in (grown_lakan(), grown_aconcagua())
+        for load in LOADS
+        if options.load in load
+    ]
+    with ProcessPoolExecutor(options.jobs) as pool:
+        plays = [
+            [pool.submit(play, deployment, load=load, seed=seed) for seed in range(options.seeds)]
+            for deployment, load in rows
+        ]
+        for (deployment, load), futures in zip(rows, plays, strict=True):
+            found = [future.result() for future in futures]
+            print(_line(f"{deployment.name}/{load}", found), flush=True)
+
+
+def _line(name: str, found: list[Figures]) -> str:
+    def mean(field: str) -> float:
+        return statistics.fmean(getattr(figures, field) for figures in found)
+
+    kinds = " ".join(
+        f"{kind}={statistics.fmean(f.by_kind[kind] for f in found):.2f}"
+        for kind in sorted(found[0].by_kind)
+    )
+    fields = ("worth", "worst_windows", "largest", "customers", "wasted", "plan_ms")
+    return f"{name}: " + " ".join(f"{f}={mean(f):.3f}" for f in fields) + f" {kinds}"
--- /dev/null
+++ b/bench/dispatch/replay.py
@@ -0,0 +1,317 @@
+"""Plays jobs against the dispatcher and fake workers in simulated time."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from bench.dispatch.workloads import SERVICE, Arrival, Deployment
+from zinniaweir.dispatch.dispatcher import Bounds, Dispatcher
+from zinniaweir.dispatch.messages import (
+    End,
+    EndRow,
+    Listing,
+    RunningRow,
+    StartAnswer,
+    TaskId,
+    WorkerEntry,
+)
+from zinniaweir.dispatch.units import Assignment
+from zinniaweir.workloads.book import JobEntry
+from zinniaweir.workloads.queues import Configuration, Customer
+from zinniaweir.workloads.records import Submission
+
+TICK_SECONDS: Final = 0.05
+RACK_SIZE: Final = 8
+REMOTE_FACTOR: Final = 3.0
+"""A task away from its data, or a rack-local gang on several racks, takes this much longer."""
+RECORD_SECONDS: Final = 0.05
+"""Between a decision and its start, for the append to the log."""
+LATE_FACTOR: Final = 3.0
+WINDOW_SECONDS: Final = 5.0
+LARGEST_SHARE: Final = 4.0
+
+
+@dataclass(kw_only=True, eq=False)
+class _Run:
+    seat: Assignment
+    key: tuple[TaskId, int]
+    began: float
+    ends_at: float
+    stopping: bool = False
+
+
+@dataclass(kw_only=True, eq=False)
+class _Host:
+    entry: WorkerEntry
+    speed: float
+    runs: dict[tuple[TaskId, int], _Run] = field(default_factory=dict)
+    ended: list[EndRow] = field(default_factory=list)
+    number: int = 0
+
+
+@dataclass(kw_only=True)
+class Figures:
+    """What one run showed."""
+
+    worth: float
+    by_kind: dict[str, float]
+    worst_windows: float
+    largest: float
+    """Share earned by the largest tenth of each kind, the worst of the kinds."""
+    customers: float
+    """Share earned by the worst customer."""
+    wasted: float
+    """Core-seconds stopped, as a share of the core-seconds of all jobs."""
+    plan_ms: float
+    """Processor time of one decision round, mean."""
+    counts: Counter[str]
+    seconds: dict[str, tuple[float, bool]]
+    """Per job: how long it took and whether it was complete in time."""
+
+
+class Replay:
+    """One dispatcher with fake workers.
+
+    Args:
+        deployment: The workers and customers.
+    """
+
+    def __init__(self, *, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._now = 100.0
+        self._hosts = {entry.worker: host for entry, host in self._make_hosts()}
+        self._arrivals: dict[str, Arrival] = {}
+        self.counts: Counter[str] = Counter()
+        self._wasted = 0.0
+        self._plan_times: list[float] = []
+        self._pending: list[tuple[float, Assignment]] = []
+        self.done_at: dict[str, float] = {}
+        self.dispatcher = Dispatcher(
+            now=self._now, predecessor_gone=True, bounds=Bounds(), reporter=self
+        )
+        total = 8 * deployment.workers * deployment.guaranteed_share
+        each = int(total / deployment.customers)
+        customers = tuple(
+            Customer(name=f"customer-{n}", keys=frozenset(), guaranteed_accelerators=each)
+            for n in range(deployment.customers)
+        )
+        self.dispatcher.configure(Configuration(version=1, customers=customers), frozenset())
+
+    @property
+    def racks(self) -> tuple[str, ...]:
+        """Names of the racks."""
+        return tuple(sorted({host.entry.rack for host in self._hosts.values()}))
+
+    def log(self, event: str, **fields: Any) -> None:
+        """Note the end of a job."""
+        if event == "job_complete":
+            self.done_at[fields["job_id"]] = self._now
+
+    def count(self, name: str, reason: str) -> None:
+        """Count a decision."""
+        self.counts[f"{name}:{reason}"] += 1
+
+    def measure(self, name: str, seconds: float, label: str) -> None:
+        """Ignore durations; the figures have their own."""
+
+    def run(self, jobs: Iterable[Arrival], *, seconds: float) -> Figures:
+        """Play jobs until some time after the last one."""
+        waiting = list(jobs)
+        began = self._now
+        while self._now < began + seconds:
+            while waiting and began + waiting[0].at <= self._now:
+                self._add(waiting.pop(0))
+            self._step()
+        return self._figures(began)
+
+    def _make_hosts(self) -> Iterable[tuple[WorkerEntry, _Host]]:
+        for n in range(self._deployment.workers):
+            rack = f"r{n // RACK_SIZE}-0"
+            entry = WorkerEntry(
+                worker=f"w{n}",
+                service=SERVICE,
+                address=f"w{n}:1",
+                failure_domain=f"zone-{n // RACK_SIZE % 3}",
+                rack=rack,
+                labels=frozenset({rack}),
+                life=1,
+                draining=False,
+                cpu_millis=64_000,
+                memory_mb=self._deployment.worker_memory_mb,
+                accelerators=8,
+            )
+            speeds = self._deployment.speeds
+            yield entry, _Host(entry=entry, speed=speeds[n % len(speeds)])
+
+    def _add(self, arrival: Arrival) -> None:
+        self._arrivals[arrival.job_id] = arrival
+        submission = Submission(
+            job_id=arrival.job_id,
+            customer=arrival.customer,
+            terms=arrival.terms,
+            spec=arrival.spec,
+            accepted_at=0.0,
+        )
+        self.dispatcher.add(JobEntry(submission=submission), now=self._now, age=0.0)
+
+    def _step(self) -> None:
+        self._now += TICK_SECONDS
+        now, dispatcher = self._now, self.dispatcher
+        dispatcher.update_workers([h.entry for h in self._hosts.values()], now=now)
+        dispatcher.confirm_view(now)
+        for host in self._hosts.values():
+            for run in list(host.runs.values()):
+                if now >= run.ends_at:
+                    self._finish(host, run)
+        self._look()
+        cpu = time.process_time()
+        dispatcher.plan(now=now)
+        self._plan_times.append(time.process_time() - cpu)
+        changes = dispatcher.take_changes(now=now)
+        dispatcher.recorded(changes)
+        self._pending += [(now + RECORD_SECONDS, seat) for seat in changes.placed]
+        due = [seat for at, seat in self._pending if at <= now]
+        self._pending = [(at, seat) for at, seat in self._pending if at > now]
+        for seat in due:
+            self._start(seat)
+        for seat in list(dispatcher.seats_to_stop(now=now, again_after=9.0)):
+            self._stop(seat)
+
+    def _look(self) -> None:
+        now = self._now
+        for worker in list(self.dispatcher.fleet):
+            host = self._hosts[worker.name]
+            host.ended = [row for row in host.ended if row.number > worker.noted]
+            rows = tuple(
+                RunningRow(task=key[0], run=key[1], checkpoint="", percent=self._percent(run))
+                for key, run in host.runs.items()
+            )
+            worker.lease_until_ms = int(now * 1e3) + 6000
+            listing = Listing(
+                life=1, clock_ms=int(now * 1e3), running=rows, ended=tuple(host.ended)
+            )
+            self.dispatcher.listing(worker, listing, asked_at=now - 0.001, now=now)
+
+    def _percent(self, run: _Run) -> int:
+        share = (self._now - run.began) / max(run.ends_at - run.began, 1e-6)
+        return max(1, min(99, int(100 * share)))
+
+    def _start(self, seat: Assignment) -> None:
+        if not self.dispatcher.start_sent(seat, now=self._now):
+            return
+        host = self._hosts[seat.worker]
+        key = (seat.task, seat.run)
+        host.runs[key] = _Run(seat=seat, key=key, began=self._now, ends_at=float("inf"))
+        self.dispatcher.start_answered(seat, StartAnswer.STARTED, now=self._now)
+        members = [
+            run
+            for other in seat.unit.seats.values()
+            if (run := self._hosts[other.worker].runs.get((other.task, other.run)))
+        ]
+        if len(members) == len(seat.unit.indexes):
+            ends_at = self._now + max(self._seconds(run.seat) for run in members)
+            for run in members:
+                run.began, run.ends_at = self._now, ends_at
+
+    def _seconds(self, seat: Assignment) -> float:
+        unit = seat.unit
+        arrival = self._arrivals[unit.job.job_id]
+        host = self._hosts[seat.worker]
+        seconds = arrival.seconds[unit.step_number][seat.index] / host.speed
+        step = unit.step
+        racks = {self._hosts[s.worker].entry.rack for s in unit.seats.values()}
+        if step.home_rack and host.entry.rack != step.home_rack:
+            seconds *= REMOTE_FACTOR
+        elif step.rack_local and len(unit.indexes) > 1 and len(racks) > 1:
+            seconds *= REMOTE_FACTOR
+        return seconds
+
+    def _finish(self, host: _Host, run: _Run) -> None:
+        if run.stopping:
+            self._end(host, run, End.STOPPED)
+            return
+        members = list(run.seat.unit.seats.values())
+        for seat in members:
+            other = self._hosts[seat.worker]
+            found = other.runs.get((seat.task, seat.run))
+            if found is not None:
+                self._end(other, found, End.DONE)
+
+    def _end(self, host: _Host, run: _Run, end: End) -> None:
+        if host.runs.pop(run.key, None) is None:
+            return
+        if end is not End.DONE:
+            step = run.seat.unit.step
+            cores = step.cpu_millis / 1e3 + 8 * step.accelerators
+            self._wasted += cores * max(self._now - run.began, 0.0)
+        host.number += 1
+        host.ended.append(
+            EndRow(number=host.number, task=run.key[0], run=run.key[1], end=end, checkpoint="")
+        )
+
+    def _stop(self, seat: Assignment) -> None:
+        self.dispatcher.stop_sent(seat, now=self._now)
+        run = self._hosts[seat.worker].runs.get((seat.task, seat.run))
+        if run is not None:
+            run.stopping = True
+            run.ends_at = self._now + self._deployment.stop_seconds
+        self.dispatcher.stop_answered(seat, acknowledged=True, now=self._now)
+
+    def _figures(self, began: float) -> Figures:
+        sizes: dict[str, list[float]] = defaultdict(list)
+        for arrival in self._arrivals.values():
+            sizes[arrival.kind.name].append(arrival.core_seconds)
+        means = {name: statistics.fmean(values) for name, values in sizes.items()}
+        large = {name: sorted(values)[int(len(values) * 0.9)] for name, values in sizes.items()}
+        earned: dict[tuple[str, object], list[float]] = defaultdict(lambda: [0.0, 0.0])
+        seconds: dict[str, tuple[float, bool]] = {}
+        for arrival in self._arrivals.values():
+            kind, size = arrival.kind, arrival.core_seconds
+            owed = kind.worth * min(0.3 + 0.7 * size / means[kind.name], LARGEST_SHARE)
+            got = owed * self._credit(arrival, began)
+            done = self.done_at.get(arrival.job_id)
+            took = float("inf") if done is None else done - began - arrival.at
+            seconds[arrival.job_id] = (took, got == owed)
+            keys: list[tuple[str, object]] = [
+                ("all", ""),
+                ("kind", kind.name),
+                ("window", int(arrival.at / WINDOW_SECONDS)),
+                ("customer", arrival.customer),
+            ]
+            if size >= large[kind.name]:
+                keys.append(("large", kind.name))
+            for key in keys:
+                earned[key][0] += got
+                earned[key][1] += owed
+
+        def shares(group: str) -> dict[object, float]:
+            return {k: got / owed for (g, k), (got, owed) in earned.items() if g == group}
+
+        work = sum(a.core_seconds for a in self._arrivals.values())
+        return Figures(
+            worth=shares("all")[""],
+            by_kind={str(k): v for k, v in shares("kind").items()},
+            worst_windows=statistics.fmean(sorted(shares("window").values())[:2]),
+            largest=min(shares("large").values()),
+            customers=min(shares("customer").values()),
+            wasted=self._wasted / work,
+            plan_ms=1e3 * statistics.fmean(self._plan_times),
+            counts=self.counts,
+            seconds=seconds,
+        )
+
+    def _credit(self, arrival: Arrival, began: float) -> float:
+        done = self.done_at.get(arrival.job_id)
+        if done is None:
+            return 0.0
+        took = done - began - arrival.at
+        if took <= arrival.objective:
+            return 1.0
+        if took <= LATE_FACTOR * arrival.objective:
+            return arrival.kind.late_worth / arrival.kind.worth
+        return 0.0
--- /dev/null
+++ b/bench/dispatch/workloads.py
@@ -0,0 +1,244 @@
+"""Seeded jobs of the deployments that the owner's decisions are measured on."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from zinniaweir.workloads.queues import QueueTerms
+from zinniaweir.workloads.spec import JobSpec, StepSpec
+
+SERVICE: Final = "workers"
+SIZE_SPREAD: Final = 0.8
+"""Spread of the log-normal distribution of gang sizes and of tasks in a job."""
+GPU_SIZES: Final = (1, 2, 4, 8, 8)
+TENANT_SKEW: Final = 0.3
+
+
+@dataclass(frozen=True, kw_only=True)
+class JobKind:
+    """One kind of job, sized as the deployments' sheets give it."""
+
+    name: str
+    rate: float
+    """Jobs a second."""
+    tasks: float
+    most_tasks: int
+    seconds: float
+    """Mean work of one task."""
+    seconds_spread: float
+    cpu_millis: int
+    memory_mb: int
+    accelerators: tuple[int, ...]
+    priority: int
+    worth: float
+    late_worth: float
+    slack_factor: float
+    target_seconds: float
+    max_attempts: int
+    gang: bool
+    rack_local_share: float = 0.0
+    home_rack_share: float = 0.0
+    spread_share: float = 0.0
+    """Share of jobs with at most two tasks on one worker."""
+    checkpoint_share: float = 0.0
+    estimate_error: float = 0.5
+    prefilled: int = 0
+    """Jobs that are there at the beginning."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Burst:
+    """More jobs of one kind, or of all, for a while."""
+
+    kind: str
+    factor: float
+    at: float
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """Workers and the jobs that come to them."""
+
+    name: str
+    workers: int
+    worker_memory_mb: int
+    speeds: tuple[float, ...]
+    stop_seconds: float
+    customers: int
+    kinds: tuple[JobKind, ...]
+    guaranteed_share: float = 0.62
+    """Share of all accelerators that is guaranteed to customers."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """One job, with what only its end tells."""
+
+    at: float
+    job_id: str
+    customer: str
+    kind: JobKind
+    terms: QueueTerms
+    spec: JobSpec
+    seconds: tuple[tuple[float, ...], ...]
+    """True work of each task of each step on a worker of speed 1."""
+
+    @property
+    def core_seconds(self) -> float:
+        """Work of the whole job; an accelerator counts as eight cores."""
+        return sum(
+            sum(seconds) * (step.cpu_millis / 1e3 + 8 * step.accelerators)
+            for step, seconds in zip(self.spec.steps, self.seconds, strict=True)
+        )
+
+    @property
+    def objective(self) -> float:
+        """Seconds within which the job earns its whole worth."""
+        chain = sum(max(seconds) for seconds in self.seconds)
+        return self.terms.slack_factor * chain + self.terms.target_seconds
+
+
+def grown_lakan() -> Deployment:
+    """Return the rendering deployment after it has grown."""
+    traces = JobKind(
+        name="traces", rate=0.837, tasks=13, most_tasks=78, seconds=8.5, seconds_spread=0.3,
+        cpu_millis=26_000, memory_mb=140_000, accelerators=GPU_SIZES, priority=1, worth=3.0,
+        late_worth=0.3, slack_factor=3.0, target_seconds=1.0, max_attempts=3, gang=True,
+        rack_local_share=0.6, home_rack_share=0.3, checkpoint_share=0.45, estimate_error=0.5,
+        prefilled=7,
+    )  # fmt: skip
+    checks = JobKind(
+        name="checks", rate=4.46, tasks=5.4, most_tasks=32, seconds=2.5, seconds_spread=0.5,
+        cpu_millis=7_500, memory_mb=31_000, accelerators=GPU_SIZES, priority=0, worth=4.0,
+        late_worth=0.8, slack_factor=1.5, target_seconds=0.3, max_attempts=4, gang=True,
+        rack_local_share=0.8, estimate_error=0.9,
+    )  # fmt: skip
+    sweeps = JobKind(
+        name="sweeps", rate=0.661, tasks=39, most_tasks=230, seconds=9.5, seconds_spread=0.3,
+        cpu_millis=5_600, memory_mb=29_000, accelerators=(1,), priority=2, worth=1.0,
+        late_worth=0.1, slack_factor=3.0, target_seconds=3.0, max_attempts=2, gang=False,
+        home_rack_share=0.12, spread_share=0.12, checkpoint_share=0.45, estimate_error=0.9,
+        prefilled=9,
+    )  # fmt: skip
+    return Deployment(
+        name="grown-lakan", workers=176, worker_memory_mb=262_144, speeds=(0.8, 1.0, 1.25),
+        stop_seconds=0.9, customers=10, kinds=(traces, checks, sweeps),
+    )  # fmt: skip
+
+
+def grown_aconcagua() -> Deployment:
+    """Return the permit deployment after it has grown."""
+    bulk = JobKind(
+        name="bulk", rate=1.56, tasks=10, most_tasks=60, seconds=6.8, seconds_spread=0.3,
+        cpu_millis=26_000, memory_mb=75_000, accelerators=GPU_SIZES, priority=1, worth=3.0,
+        late_worth=0.9, slack_factor=3.0, target_seconds=1.0, max_attempts=4, gang=True,
+        rack_local_share=0.6, home_rack_share=0.3, checkpoint_share=0.45, estimate_error=0.5,
+        prefilled=9,
+    )  # fmt: skip
+    counter = JobKind(
+        name="counter", rate=4.64, tasks=5, most_tasks=30, seconds=2.5, seconds_spread=0.5,
+        cpu_millis=7_500, memory_mb=31_000, accelerators=GPU_SIZES, priority=0, worth=4.0,
+        late_worth=0.8, slack_factor=1.5, target_seconds=0.25, max_attempts=3, gang=True,
+        rack_local_share=0.8, estimate_error=0.2,
+    )  # fmt: skip
+    fees = JobKind(
+        name="fees", rate=1.53, tasks=30, most_tasks=180, seconds=6.1, seconds_spread=0.3,
+        cpu_millis=5_600, memory_mb=16_000, accelerators=(1,), priority=2, worth=1.0,
+        late_worth=0.3, slack_factor=3.0, target_seconds=3.0, max_attempts=3, gang=False,
+        home_rack_share=0.12, spread_share=0.12, checkpoint_share=0.45, estimate_error=0.2,
+        prefilled=12,
+    )  # fmt: skip
+    return Deployment(
+        name="grown-aconcagua", workers=176, worker_memory_mb=131_072, speeds=(1.0, 1.0, 1.3),
+        stop_seconds=0.2, customers=10, kinds=(bulk, counter, fees),
+    )  # fmt: skip
+
+
+def arrivals(
+    deployment: Deployment,
+    *,
+    seed: int,
+    seconds: float,
+    load: float = 1.0,
+    bursts: tuple[Burst, ...] = (),
+    racks: tuple[str, ...],
+) -> Iterator[Arrival]:
+    """Return the jobs of one run, in the order of their arrival.
+
+    Args:
+        deployment: What is loaded.
+        seed: Seed of all draws.
+        seconds: How long jobs arrive.
+        load: Factor on all rates.
+        bursts: Times of more jobs.
+        racks: Names of the racks, for data.
+    """
+    source = random.Random(seed)
+    drawn: list[tuple[float, JobKind]] = []
+    for kind in deployment.kinds:
+        drawn += [(0.0, kind)] * kind.prefilled
+        at = 0.0
+        while (at := at + source.expovariate(_rate(kind, load, bursts, at))) < seconds:
+            drawn.append((at, kind))
+    drawn.sort(key=lambda pair: pair[0])
+    for number, (at, kind) in enumerate(drawn):
+        yield _arrival(source, deployment, kind, at, number, racks)
+
+
+def _rate(kind: JobKind, load: float, bursts: tuple[Burst, ...], at: float) -> float:
+    rate = kind.rate * load
+    for burst in bursts:
+        if burst.kind in ("", kind.name) and burst.at <= at < burst.at + burst.seconds:
+            rate *= burst.factor
+    return rate
+
+
+def _arrival(
+    source: random.Random,
+    deployment: Deployment,
+    kind: JobKind,
+    at: float,
+    number: int,
+    racks: tuple[str, ...],
+) -> Arrival:
+    mean = kind.tasks
+    count = round(source.lognormvariate(0.0, SIZE_SPREAD) * mean / 1.377)
+    count = max(1, min(count, kind.most_tasks))
+    work = max(0.3, source.lognormvariate(0.0, kind.seconds_spread) * kind.seconds)
+    work = min(work, 11.0)
+    seconds = tuple(work * source.uniform(0.85, 1.15) for _ in range(count))
+    error = source.uniform(1 - kind.estimate_error, 1 + kind.estimate_error)
+    step = StepSpec(
+        count=count,
+        cpu_millis=kind.cpu_millis,
+        memory_mb=kind.memory_mb,
+        accelerators=source.choice(kind.accelerators),
+        estimate_ms=int(work * error * 1e3),
+        gang=kind.gang and count > 1,
+        rack_local=source.random() < kind.rack_local_share,
+        home_rack=source.choice(racks) if source.random() < kind.home_rack_share else "",
+        max_per_worker=2 if source.random() < kind.spread_share else 0,
+        checkpointing=source.random() < kind.checkpoint_share,
+    )
+    weights = [1 / (n + 1) ** TENANT_SKEW for n in range(deployment.customers)]
+    customer = source.choices(range(deployment.customers), weights)[0]
+    return Arrival(
+        at=at,
+        job_id=f"{number:016x}",
+        customer=f"customer-{customer}",
+        kind=kind,
+        terms=QueueTerms(
+            name=kind.name,
+            service=SERVICE,
+            priority=kind.priority,
+            max_attempts=kind.max_attempts,
+            slack_factor=kind.slack_factor,
+            target_seconds=kind.target_seconds,
+        ),
+        spec=JobSpec(payload="x", steps=(step,)),
+        seconds=(seconds,),
+    )
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -31,6 +31,9 @@
 GANG_SECONDS: Final = 2.0
 """A gang whose members have not all started by then is stopped; workers end it a second later."""
 
+PLAN_SECONDS: Final = 0.1
+"""Longest pause between passes over what waits while nothing changes; some waits end by time."""
+
 CLOCK_MARGIN: Final = 1.03
 """A lease of a worker whose clock was never read lasts at most this much longer."""
 
@@ -99,6 +102,10 @@
         self._placed: list[Assignment] = []
         self._notes: dict[str, Note] = {}
         self._strays: list[tuple[str, TaskId, int]] = []
+        self._starting: set[Assignment] = set()
+        self._stopping: set[Assignment] = set()
+        self._changed = True
+        self._planned_at = float("-inf")
         self._planner = Planner(
             fleet=self._fleet,
             health=self._health,
@@ -145,11 +152,13 @@
         job_id = entry.submission.job_id
         if job_id in self._jobs:
             return
+        self._changed = True
         job = self._jobs[job_id] = OwnedJob(entry, now=now, age=age)
         for seat in job.seats:
             self._adopt(seat)
             if job.closed:
                 seat.stop_reason = "job_closed"
+                self._stopping.add(seat)
         self._log(
             "job_taken",
             job_id=job_id,
@@ -193,6 +202,7 @@
         worker.answered_at = now
         worker.clock.observe(listing.clock_ms, sent_at=asked_at, received_at=now)
         if worker.listed_at is None:
+            self._changed = True
             self._log("worker_listed", worker=worker.name, running=len(listing.running))
         worker.listed_at = asked_at
         if listing.strangers:
@@ -283,27 +293,25 @@
             now: Present time in seconds.
             again_after: Seconds without an answer after which it is sent again.
         """
-        for worker in self._fleet:
-            for seat in list(worker.seats.values()):
-                if (
-                    seat.recorded
-                    and not (seat.started or seat.inherited or seat.stop_reason)
-                    and not seat.start_in_flight
-                    and seat.settled_at is None
-                    and (seat.sent_at is None or now - seat.sent_at >= again_after)
-                ):
-                    yield seat
+        for seat in list(self._starting):
+            if (
+                seat.recorded
+                and not seat.stop_reason
+                and not seat.start_in_flight
+                and seat.settled_at is None
+                and (seat.sent_at is None or now - seat.sent_at >= again_after)
+            ):
+                yield seat
 
     def seats_to_stop(self, *, now: float, again_after: float) -> Iterator[Assignment]:
         """Return seats whose stop is to be sent."""
-        for worker in self._fleet:
-            for seat in list(worker.seats.values()):
-                if (
-                    seat.stop_reason
-                    and not seat.stop_in_flight
-                    and (seat.stop_sent_at is None or now - seat.stop_sent_at >= again_after)
-                ):
-                    yield seat
+        for seat in list(self._stopping):
+            if (
+                not seat.stop_in_flight
+                and (seat.stop_sent_at is None or now - seat.stop_sent_at >= again_after)
+                and self._worker_of(seat) is not None
+            ):
+                yield seat
 
     def take_strays(self) -> list[tuple[str, TaskId, int]]:
         """Return runs that workers list and that nobody wants, as worker, task and run."""
@@ -312,6 +320,9 @@
 
     def plan(self, *, now: float) -> None:
         """Make decisions that follow from time, and place what waits."""
+        if not self._changed and now - self._planned_at < PLAN_SECONDS:
+            return
+        self._changed, self._planned_at = False, now
         self._expire(now)
         self._planner.plan(
             self._jobs.values(),
@@ -421,6 +432,7 @@
     def _mark_started(self, seat: Assignment, now: float) -> None:
         if seat.started:
             return
+        self._starting.discard(seat)
         seat.started, seat.started_at = True, now
         seat.percent_at = now
         self._reporter.measure("start", now - seat.placed_at, seat.unit.job.terms.name)
@@ -438,6 +450,9 @@
         worker = self._fleet.get(seat.worker)
         if worker is not None:
             worker.unseat(seat)
+        self._starting.discard(seat)
+        self._stopping.discard(seat)
+        self._changed = True
         unit, job = seat.unit, seat.unit.job
         if unit.seats.get(seat.index) is not seat:
             return
@@ -515,6 +530,7 @@
         )
         for seat in seats:
             seat.stop_reason = reason
+            self._stopping.add(seat)
             self._count("stops", reason)
             if seat.first_sent_at is None and not seat.inherited:
                 self._end(seat, End.LOST, "", now, cause="never_sent")
@@ -533,6 +549,7 @@
             )
             unit.seats[index] = seat
             worker.seat(seat)
+            self._starting.add(seat)
             self._placed.append(seat)
         self._dirty[unit.job.job_id] = unit.job
         self._reporter.measure("placement_wait", now - unit.waiting_since, unit.job.terms.name)
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -8,8 +8,8 @@
 
 from zinniaweir.dispatch.clock import WorkerClock
 from zinniaweir.dispatch.messages import TaskId, WorkerEntry
-from zinniaweir.dispatch.units import Assignment
-from zinniaweir.workloads.spec import StepSpec
+from zinniaweir.dispatch.units import Assignment, Demand
+from zinniaweir.workloads.spec import MAX_TASKS
 
 SILENCE_SECONDS: Final = 2.0
 """A worker that has not answered for this long gets no work; looks are answered within a second."""
@@ -38,6 +38,9 @@
     used_cpu: int = 0
     used_memory: int = 0
     used_accelerators: int = 0
+    _fits: dict[Demand, int] = field(default_factory=dict, repr=False)
+    """How many tasks of a size fit beside what is there, until that changes."""
+    _fits_empty: dict[Demand, int] = field(default_factory=dict, repr=False)
 
     @property
     def name(self) -> str:
@@ -49,23 +52,29 @@
         """Accelerators without a task."""
         return self.entry.accelerators - self.used_accelerators
 
-    def fits(self, step: StepSpec) -> int:
-        """Return how many tasks of a step fit beside what is there."""
-        return fit_count(
-            step,
-            cpu=self.entry.cpu_millis - self.used_cpu,
-            memory=self.entry.memory_mb - self.used_memory,
-            accelerators=self.entry.accelerators - self.used_accelerators,
-        )
-
-    def fits_empty(self, step: StepSpec) -> int:
-        """Return how many tasks of a step fit when nothing else is there."""
-        return fit_count(
-            step,
-            cpu=self.entry.cpu_millis,
-            memory=self.entry.memory_mb,
-            accelerators=self.entry.accelerators,
-        )
+    def fits(self, demand: Demand) -> int:
+        """Return how many tasks of a size fit beside what is there."""
+        found = self._fits.get(demand)
+        if found is None:
+            found = self._fits[demand] = fit_count(
+                demand,
+                cpu=self.entry.cpu_millis - self.used_cpu,
+                memory=self.entry.memory_mb - self.used_memory,
+                accelerators=self.entry.accelerators - self.used_accelerators,
+            )
+        return found
+
+    def fits_empty(self, demand: Demand) -> int:
+        """Return how many tasks of a size fit when nothing else is there."""
+        found = self._fits_empty.get(demand)
+        if found is None:
+            found = self._fits_empty[demand] = fit_count(
+                demand,
+                cpu=self.entry.cpu_millis,
+                memory=self.entry.memory_mb,
+                accelerators=self.entry.accelerators,
+            )
+        return found
 
     def seat(self, assignment: Assignment) -> None:
         """Take room for an assignment."""
@@ -74,6 +83,7 @@
         self.used_cpu += step.cpu_millis
         self.used_memory += step.memory_mb
         self.used_accelerators += step.accelerators
+        self._fits.clear()
 
     def unseat(self, assignment: Assignment) -> None:
         """Give the room of an assignment back."""
@@ -83,23 +93,30 @@
         self.used_cpu -= step.cpu_millis
         self.used_memory -= step.memory_mb
         self.used_accelerators -= step.accelerators
+        self._fits.clear()
+
+    def renew(self, entry: WorkerEntry) -> None:
+        """Take a newer entry of the same life."""
+        if entry is not self.entry:
+            self.entry = entry
+            self._fits.clear()
+            self._fits_empty.clear()
+        self.missing_since = None
 
     def lapsed(self, now: float) -> bool:
         """Whether every lease that was ever sent has certainly expired."""
         return self.clock.known and self.clock.earliest(now) > self.lease_until_ms
 
 
-def fit_count(step: StepSpec, *, cpu: int, memory: int, accelerators: int) -> int:
-    """Return how many tasks of a step fit into some room."""
-    most = step.count
-    if step.cpu_millis:
-        most = min(most, cpu // step.cpu_millis)
-    if step.memory_mb:
-        most = min(most, memory // step.memory_mb)
-    if step.accelerators:
-        most = min(most, accelerators // step.accelerators)
-    if step.max_per_worker:
-        most = min(most, step.max_per_worker)
+def fit_count(demand: Demand, *, cpu: int, memory: int, accelerators: int) -> int:
+    """Return how many tasks of a size fit into some room."""
+    most = MAX_TASKS
+    if demand.cpu_millis:
+        most = cpu // demand.cpu_millis
+    if demand.memory_mb:
+        most = min(most, memory // demand.memory_mb)
+    if demand.accelerators:
+        most = min(most, accelerators // demand.accelerators)
     return max(most, 0)
 
 
@@ -136,7 +153,7 @@
                 ended.append(worker)
                 self._workers[entry.worker] = Worker(entry=entry)
             elif entry.life == worker.entry.life:
-                worker.entry, worker.missing_since = entry, None
+                worker.renew(entry)
         for name, worker in self._workers.items():
             if name not in present and worker.missing_since is None:
                 worker.missing_since = now
--- a/packages/dispatch/src/zinniaweir/dispatch/inheritance.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/inheritance.py
@@ -17,7 +17,7 @@
 
     def __init__(self, *, until: float) -> None:
         self._until = until
-        self._seats: dict[tuple[str, int], dict[tuple[TaskId, int], Assignment]] = {}
+        self._seats: dict[str, dict[tuple[TaskId, int], Assignment]] = {}
 
     def lapsed(self, now: float) -> bool:
         """Return whether no lease of a former owner is left."""
@@ -25,7 +25,7 @@
 
     def add(self, seat: Assignment) -> None:
         """Keep a seat."""
-        self._seats.setdefault((seat.worker, seat.life), {})[seat.task, seat.run] = seat
+        self._seats.setdefault(seat.worker, {})[seat.task, seat.run] = seat
 
     def take(self, worker: str, life: int) -> Iterator[Assignment]:
         """Return and drop the seats on a worker's present life and on its earlier ones.
@@ -34,9 +34,15 @@
             worker: The worker.
             life: Its present life.
         """
-        for name, then in list(self._seats):
-            if name == worker and then <= life:
-                yield from self._seats.pop((name, then)).values()
+        seats = self._seats.get(worker)
+        if seats is None:
+            return
+        for key, seat in list(seats.items()):
+            if seat.life <= life:
+                del seats[key]
+                yield seat
+        if not seats:
+            del self._seats[worker]
 
     def take_lapsed(self, now: float) -> Iterator[Assignment]:
         """Return and drop all seats once every lease has lapsed."""
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.units import Unit
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True, slots=True)
 class Candidate:
     """A worker that may take tasks of a unit."""
 
@@ -27,10 +27,28 @@
     return (
         entry.service == unit.job.terms.service
         and (not step.required_label or step.required_label in entry.labels)
-        and worker.fits_empty(step) > 0
+        and worker.fits_empty(unit.demand) > 0
     )
 
 
+def room_when_empty(unit: Unit, worker: Worker) -> int:
+    """Return how many tasks of a unit's step a worker takes when nothing else is there."""
+    return _capped(unit, worker.fits_empty(unit.demand))
+
+
+def by_rack(workers: Iterable[Worker], *, together: bool) -> list[list[Worker]]:
+    """Return workers in groups that a gang may use together.
+
+    Args:
+        workers: Any workers.
+        together: Whether the gang must stay in one rack; otherwise all are one group.
+    """
+    groups: dict[str, list[Worker]] = defaultdict(list)
+    for worker in workers:
+        groups[worker.entry.rack if together else ""].append(worker)
+    return list(groups.values())
+
+
 def tasks_of_step_on(unit: Unit, worker: Worker) -> int:
     """Return how many tasks of the unit's step a worker has."""
     job_id, number = unit.job.job_id, unit.step_number
@@ -39,18 +57,23 @@
 
 def room_for(unit: Unit, worker: Worker) -> int:
     """Return how many tasks of a unit's step a worker can take now."""
-    step = unit.step
-    count = worker.fits(step)
-    if count and step.max_per_worker:
-        count = min(count, step.max_per_worker - tasks_of_step_on(unit, worker))
+    count = worker.fits(unit.demand)
+    if count and unit.step.max_per_worker:
+        count = _capped(unit, count, present=tasks_of_step_on(unit, worker))
     return count
 
 
+def _capped(unit: Unit, count: int, *, present: int = 0) -> int:
+    """Apply the step's limit of tasks on one worker to a number of tasks that fit."""
+    most = unit.step.max_per_worker
+    return min(count, most - present) if most else count
+
+
 def choose(
     unit: Unit,
     workers: Iterable[Worker],
     *,
-    room: Callable[[Unit, Worker], int] = room_for,
+    rack_use: Mapping[str, int],
     suspicion: Callable[[str], int] = lambda _: 0,
     spread_allowed: bool = False,
 ) -> list[Worker] | None:
@@ -61,28 +84,26 @@
     Args:
         unit: What is to be placed.
         workers: Workers that may be used.
-        room: How many tasks of the unit a worker can take.
+        rack_use: Accelerators in use, by rack.
         suspicion: How doubtful a worker is; doubtful ones go last.
         spread_allowed: Whether a rack-local gang may use several racks.
 
     Returns:
         One worker for each index of the unit, None if there is no room.
     """
-    racks: dict[str, int] = defaultdict(int)
-    workers = list(workers)
-    for worker in workers:
-        racks[worker.entry.rack] += worker.used_accelerators
     candidates = [
         Candidate(
             worker=worker,
             count=count,
-            cost=_cost(unit, worker, suspicion(worker.name), racks[worker.entry.rack]),
+            cost=_cost(unit, worker, suspicion(worker.name), rack_use.get(worker.entry.rack, 0)),
         )
         for worker in workers
-        if (count := room(unit, worker)) > 0
+        if (count := room_for(unit, worker)) > 0
     ]
-    candidates.sort(key=lambda c: c.cost)
     needed = len(unit.indexes)
+    if sum(candidate.count for candidate in candidates) < needed:
+        return None
+    candidates.sort(key=lambda c: c.cost)
     if needed > 1 and unit.step.rack_local:
         found = _within_a_rack(candidates, needed)
         if found is not None or not spread_allowed:
@@ -90,12 +111,10 @@
     return _take(candidates, needed)
 
 
-def fewest_racks(workers: Sequence[Worker], unit: Unit) -> int:
+def largest_rack_room(workers: Iterable[Worker], unit: Unit) -> int:
     """Return how many tasks of a unit the roomiest rack holds when it is empty."""
-    totals: dict[str, int] = defaultdict(int)
-    for worker in workers:
-        totals[worker.entry.rack] += worker.fits_empty(unit.step)
-    return max(totals.values(), default=0)
+    racks = by_rack(workers, together=True)
+    return max((sum(room_when_empty(unit, w) for w in rack) for rack in racks), default=0)
 
 
 def _cost(unit: Unit, worker: Worker, suspicion: int, rack_used: int) -> tuple[float, ...]:
--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from zinniaweir.dispatch.fleet import Worker, fit_count
-from zinniaweir.dispatch.placement import allowed_on, tasks_of_step_on
+from zinniaweir.dispatch.placement import allowed_on, by_rack, tasks_of_step_on
 from zinniaweir.dispatch.units import Assignment, Unit
 
 ACCELERATOR_CORES: Final = 8
@@ -63,11 +62,9 @@
         What to stop, None if stopping less urgent work does not help.
     """
     usable = [w for w in workers if allowed_on(unit, w)]
-    groups: dict[str, list[Worker]] = defaultdict(list)
     one_rack = unit.step.rack_local and len(unit.indexes) > 1 and not spread_allowed
-    for worker in usable:
-        groups[worker.entry.rack if one_rack else ""].append(worker)
-    found = [e for group in groups.values() if (e := _evict_in(unit, group, now)) is not None]
+    groups = by_rack(usable, together=one_rack)
+    found = [e for group in groups if (e := _evict_in(unit, group, now)) is not None]
     return min(found, key=lambda e: e.lost, default=None)
 
 
@@ -123,7 +120,7 @@
             cpu += seat.unit.step.cpu_millis
             memory += seat.unit.step.memory_mb
             accelerators += seat.unit.step.accelerators
-        fits = fit_count(step, cpu=cpu, memory=memory, accelerators=accelerators)
+        fits = fit_count(unit.demand, cpu=cpu, memory=memory, accelerators=accelerators)
         count = min(most, fits)
         if count <= 0:
             continue
--- a/packages/dispatch/src/zinniaweir/dispatch/reserving.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/reserving.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from zinniaweir.dispatch.fleet import Worker
-from zinniaweir.dispatch.placement import allowed_on
+from zinniaweir.dispatch.placement import allowed_on, by_rack, room_when_empty
 from zinniaweir.dispatch.units import Unit
 
 BACKFILL_MARGIN: Final = 1.3
@@ -36,10 +35,8 @@
         one_rack: Whether all must be in one rack.
     """
     usable = sorted((w for w in workers if allowed_on(unit, w)), key=free_at)
-    groups: dict[str, list[Worker]] = defaultdict(list)
-    for worker in usable:
-        groups[worker.entry.rack if one_rack else ""].append(worker)
-    found = [chosen for group in groups.values() if (chosen := _first(group, unit))]
+    groups = by_rack(usable, together=one_rack)
+    found = [chosen for group in groups if (chosen := _first(group, unit))]
     if not found:
         return None
     best = min(found, key=lambda chosen: max(free_at(w) for w in chosen))
@@ -54,7 +51,7 @@
     room = 0
     for worker in group:
         chosen.append(worker)
-        room += worker.fits_empty(unit.step)
+        room += room_when_empty(unit, worker)
         if room >= len(unit.indexes):
             return chosen
     return []
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from zinniaweir.dispatch.messages import TaskId
 from zinniaweir.workloads.book import JobEntry
@@ -12,6 +13,14 @@
 from zinniaweir.workloads.spec import StepSpec
 
 
+class Demand(NamedTuple):
+    """The room that one task takes on a worker."""
+
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+
+
 @dataclass(kw_only=True, eq=False)
 class Assignment:
     """One task of a run on a worker; it takes room there until its end is known."""
@@ -74,11 +83,16 @@
     """Whether the log has a line about its present wait."""
     room_asked_at: float | None = None
     """When other work was last stopped to make room for it."""
-
-    @property
-    def step(self) -> StepSpec:
-        """The step that it belongs to."""
-        return self.job.steps[self.step_number]
+    room_sought_at: float | None = None
+    """When work to stop for it was last searched."""
+    step: StepSpec = field(init=False, repr=False)
+    """The step that it belongs to."""
+    demand: Demand = field(init=False, repr=False)
+    """Room of each of its tasks."""
+
+    def __post_init__(self) -> None:
+        step = self.step = self.job.steps[self.step_number]
+        self.demand = Demand(step.cpu_millis, step.memory_mb, step.accelerators)
 
     @property
     def waiting(self) -> bool:
