dispatch: keep room for up to four waiting units

Cause: on the rendering site a third of the traces, gangs of 13 workers, never found room: room was kept for two units at a time, and the rest was filled by small work. Change: MAX_RESERVATIONS 4.

--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -19,7 +19,7 @@
 from zinniaweir.dispatch.units import Assignment, Unit
 from zinniaweir.workloads.spec import StepSpec
 
-MAX_RESERVATIONS: Final = 2
+MAX_RESERVATIONS: Final = 4
 """Units that room is kept for at one time; more would leave too much idle."""
 PREEMPTION_SECONDS: Final = 1.2
 """How long stopped work may take to leave before more is stopped; a stop takes 0.9 s at most."""
