--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -20,7 +20,6 @@
     WorkerEntry,
 )
 from zinniaweir.dispatch.ordering import objective
-from zinniaweir.dispatch.paces import Paces
 from zinniaweir.dispatch.planning import Planner
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runtimes import RunTimes
@@ -99,7 +98,6 @@
         self._fleet = Fleet()
         self._health = Health()
         self._run_times = RunTimes()
-        self._paces = Paces()
         self._dirty: dict[str, OwnedJob] = {}
         self._placed: list[Assignment] = []
         self._notes: dict[str, Note] = {}
@@ -112,7 +110,6 @@
             fleet=self._fleet,
             health=self._health,
             run_times=self._run_times,
-            paces=self._paces,
             reporter=reporter,
         )
 
@@ -483,7 +480,7 @@
         unit, job = seat.unit, seat.unit.job
         self._health.succeeded(seat.worker)
         if seat.started_at is not None and not seat.inherited and not unit.checkpoint:
-            self._learn_duration(seat, now - seat.started_at)
+            self._run_times.add(job.terms.name, now - seat.started_at)
         job.finish_unit(unit)
         if not any(job.open_units) and job.ended_at is None:
             job.ended_at = now
@@ -496,15 +493,6 @@
                 objective=round(objective(job, self._run_times), 3),
             )
 
-    def _learn_duration(self, seat: Assignment, seconds: float) -> None:
-        unit, queue = seat.unit, seat.unit.job.terms.name
-        self._run_times.add(queue, seconds)
-        if len(unit.indexes) == 1:
-            self._paces.single_ended(seat.worker, (unit.job.job_id, unit.step_number), seconds)
-        else:
-            estimate = unit.step.estimate_ms / 1e3
-            self._paces.gang_ended(seat.worker, queue, seconds, estimate)
-
     def _interrupted(self, seat: Assignment, end: End, now: float) -> None:
         unit, job = seat.unit, seat.unit.job
         if end is End.FAILED and unit.failed_run != unit.run:
@@ -580,7 +568,6 @@
     def _lose_all(self, worker: Worker, cause: str, now: float) -> None:
         self._log("worker_lost", worker=worker.name, cause=cause, seats=len(worker.seats))
         self._health.forget(worker.name)
-        self._paces.forget(worker.name)
         for seat in list(worker.seats.values()):
             worker.unseat(seat)
             self._end(seat, End.LOST, "", now, cause=cause)
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 from zinniaweir.dispatch.fleet import Worker
-from zinniaweir.dispatch.ordering import URGENT_PRIORITY
 from zinniaweir.dispatch.units import Unit
 
 
@@ -76,7 +75,6 @@
     *,
     rack_use: Mapping[str, int],
     suspicion: Callable[[str], int] = lambda _: 0,
-    grade: Callable[[str], int] = lambda _: 1,
     spread_allowed: bool = False,
 ) -> list[Worker] | None:
     """Choose a worker for each task of a unit.
@@ -88,7 +86,6 @@
         workers: Workers that may be used.
         rack_use: Accelerators in use, by rack.
         suspicion: How doubtful a worker is; doubtful ones go last.
-        grade: How slow a worker is; urgent work takes the fast ones first, other work leaves them.
         spread_allowed: Whether a rack-local gang may use several racks.
 
     Returns:
@@ -98,13 +95,7 @@
         Candidate(
             worker=worker,
             count=count,
-            cost=_cost(
-                unit,
-                worker,
-                suspicion=suspicion(worker.name),
-                grade=grade(worker.name),
-                rack_used=rack_use.get(worker.entry.rack, 0),
-            ),
+            cost=_cost(unit, worker, suspicion(worker.name), rack_use.get(worker.entry.rack, 0)),
         )
         for worker in workers
         if (count := room_for(unit, worker)) > 0
@@ -126,16 +117,12 @@
     return max((sum(room_when_empty(unit, w) for w in rack) for rack in racks), default=0)
 
 
-def _cost(
-    unit: Unit, worker: Worker, *, suspicion: int, grade: int, rack_used: int
-) -> tuple[float, ...]:
+def _cost(unit: Unit, worker: Worker, suspicion: int, rack_used: int) -> tuple[float, ...]:
     step = unit.step
     away = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
     memory_left = worker.entry.memory_mb - worker.used_memory - step.memory_mb
-    urgent = unit.job.terms.priority == URGENT_PRIORITY
-    speed = grade if urgent else -grade
-    return (suspicion, away, left, speed, -rack_used, memory_left)
+    return (float(suspicion), float(away), float(left), -float(rack_used), float(memory_left))
 
 
 def _within_a_rack(candidates: Sequence[Candidate], needed: int) -> list[Worker] | None:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -10,7 +10,6 @@
 from zinniaweir.dispatch.guarantees import covered_jobs
 from zinniaweir.dispatch.health import Health
 from zinniaweir.dispatch.ordering import Rank, rank
-from zinniaweir.dispatch.paces import Paces
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runtimes import RunTimes
@@ -41,7 +40,6 @@
         fleet: The workers.
         health: The standing of workers.
         run_times: Expected durations.
-        paces: How fast workers are.
         reporter: Takes log lines and counts.
     """
 
@@ -51,13 +49,11 @@
         fleet: Fleet,
         health: Health,
         run_times: RunTimes,
-        paces: Paces,
         reporter: Reporter,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
-        self._paces = paces
         self._reporter = reporter
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -124,7 +120,6 @@
             keeper=self,
             health=self._health,
             run_times=self._run_times,
-            paces=self._paces,
             reporter=self._reporter,
         )
         for job, found in self._ranked(waiting, covered, now):
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -11,7 +11,6 @@
 from zinniaweir.dispatch.guarantees import GUARANTEED_PRIORITY
 from zinniaweir.dispatch.health import Health
 from zinniaweir.dispatch.ordering import Rank
-from zinniaweir.dispatch.paces import Paces
 from zinniaweir.dispatch.placement import allowed_on, choose, largest_rack_room
 from zinniaweir.dispatch.preemption import choose_eviction, unit_cores
 from zinniaweir.dispatch.reporting import Reporter
@@ -72,7 +71,6 @@
         keeper: What outlasts the pass.
         health: The standing of workers.
         run_times: Expected durations.
-        paces: How fast workers are.
         reporter: Takes log lines and counts.
     """
 
@@ -83,7 +81,6 @@
         keeper: RoomKeeper,
         health: Health,
         run_times: RunTimes,
-        paces: Paces,
         reporter: Reporter,
     ) -> None:
         self._context = context
@@ -91,7 +88,6 @@
         self._keeper = keeper
         self._health = health
         self._run_times = run_times
-        self._paces = paces
         self._reporter = reporter
         self._usable = context.usable
         total = sum(w.entry.accelerators for w in self._usable)
@@ -120,7 +116,6 @@
             _preferred(unit, self._roomy_for(unit), closed),
             rack_use=self._rack_use,
             suspicion=self._health.suspicion,
-            grade=self._paces.grade,
             spread_allowed=spread,
         )
         if chosen is not None:
