--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.stamp-$(shell cat requirements.lock | sha256sum | cut -c1-12)
-SOURCES := $(wildcard packages/*/src) platform/src testkit/src standins/src
+SOURCES := $(wildcard packages/*/src) platform/src platform/soak/src testkit/src standins/src
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
--- a/testkit/src/zinniaweir_testkit/relay.py
+++ b/testkit/src/zinniaweir_testkit/relay.py
@@ -72,6 +72,10 @@
         """Stop listening and drop all connections."""
         if self._server is not None:
             self._server.close()
+        self.drop_connections()
+
+    def drop_connections(self) -> None:
+        """Break off all connections; new ones are served."""
         for task in self._tasks:
             task.cancel()
 
