dispatch: a rack-local gang spreads after 2 s on an idle cluster

The gang is rack-local and each rack still had a straggler. Change: on a cluster with under half of its accelerators in use, a gang with nothing running uses several racks after 2 s. A test with a straggler in each rack fails before.

--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -30,6 +30,9 @@
 that it takes itself are lost; other work has seconds to spare, urgent work has not."""
 IDLE_WAIT_SECONDS: Final = 1.5
 """A job with nothing running waits no longer than this for room that is kept on an idle cluster."""
+SPREAD_WAIT_SECONDS: Final = 2.0
+"""A rack-local gang waits no longer than this for its rack on an idle cluster; it then runs on
+several racks, more slowly. Nothing may stand still for 3 s while the cluster is idle."""
 IDLE_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use is idle."""
 LARGE_SHARE: Final = 0.5
@@ -170,20 +173,23 @@
 
     def _reserved_from(self, unit: Unit) -> set[str]:
         """Return workers that are kept for others until before the unit would end there."""
-        if not self._reservations or (self._idle and self._waits_with_nothing_running(unit)):
+        if not self._reservations:
+            return set()
+        if self._idle and self._waits_with_nothing_running(unit, IDLE_WAIT_SECONDS):
             return set()
         expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
         end = self._now + BACKFILL_MARGIN * expected
         kept = (r.workers for r in self._reservations if end > r.ready_at)
         return set().union(*kept)
 
-    def _waits_with_nothing_running(self, unit: Unit) -> bool:
-        waited = self._now - unit.waiting_since
-        return waited > IDLE_WAIT_SECONDS and not any(unit.job.seats)
+    def _waits_with_nothing_running(self, unit: Unit, seconds: float) -> bool:
+        return self._now - unit.waiting_since > seconds and not any(unit.job.seats)
 
     def _spread_allowed(self, unit: Unit) -> bool:
         if not unit.step.rack_local or len(unit.indexes) == 1:
             return True
+        if self._idle and self._waits_with_nothing_running(unit, SPREAD_WAIT_SECONDS):
+            return True
         step = unit.step
         key = (unit.job.terms.service, step.required_label, unit.demand, step.max_per_worker)
         room = self._rack_rooms.get(key)
--- a/packages/dispatch/tests/test_planning.py
+++ b/packages/dispatch/tests/test_planning.py
@@ -182,3 +182,18 @@
     assert not list(world.seats("small"))
     world.run(1.5)
     assert any(seat.started for seat in world.seats("small"))
+
+
+def test_a_rack_local_gang_spreads_if_each_rack_of_an_idle_cluster_has_a_straggler() -> None:
+    """Guards against a gang that waits for a rack while most of the cluster is free."""
+    world = World(*racks(3, 4))
+    world.seconds = 60.0
+    for n in range(3):
+        blocker = StepSpec(count=1, accelerators=1, estimate_ms=60_000, home_rack=f"r1-{n}")
+        world.add(job(f"blocker{n}", blocker))
+    world.run(0.3)
+    world.add(job("gang", gang(4), priority=1, slack_factor=9.0))
+    world.run(1.5)
+    assert not list(world.seats("gang"))
+    world.run(1.5)
+    assert len(list(world.seats("gang"))) == 4
