--- a/packages/node/src/zinniaweir/node/candidacy.py
+++ b/packages/node/src/zinniaweir/node/candidacy.py
@@ -19,6 +19,21 @@
 """A longer gap between good reads is an outage: the owner gets its time anew."""
 
 
+STRONG_CORES: Final = 1.0
+"""An owner of 176 workers uses 0.4 of a core over a day and several times that in a burst."""
+HANDICAP_SECONDS: Final = 0.3
+"""How long a VM with less leaves the ownership to stronger ones; one read of the log is shorter."""
+
+
+def handicap_of(cores: float) -> float:
+    """Return how long a VM leaves a vacancy to others.
+
+    Args:
+        cores: The processor time that it has, in cores.
+    """
+    return 0.0 if cores >= STRONG_CORES else HANDICAP_SECONDS
+
+
 class Candidacy:
     """Watch the claims of a log.
 
@@ -29,12 +44,14 @@
         vm: Name of this VM; a claim of an earlier process on it is vacant at once.
         incarnation: Identifies this process.
         delay: Seconds that this VM waits longer than the quickest, so that few claim at once.
+        handicap: Seconds for which it leaves a vacancy to other VMs, 0 for a strong one.
     """
 
-    def __init__(self, *, vm: str, incarnation: str, delay: float) -> None:
+    def __init__(self, *, vm: str, incarnation: str, delay: float, handicap: float = 0.0) -> None:
         self._vm = vm
         self._incarnation = incarnation
-        self._delay = delay
+        self._delay = delay + handicap
+        self._handicap = handicap
         self._seen: tuple[int, int, bool] | None = None
         self._quiet_since: float | None = None
         self._slowness = 0.0
@@ -65,7 +82,7 @@
         if self._quiet_since is None:
             return False
         if claim is None or claim.released:
-            return True
+            return fresh_at - self._quiet_since >= self._handicap
         if claim.vm == self._vm and claim.incarnation != self._incarnation:
             return True
         allowed = SILENCE_SECONDS + SLOW_FACTOR * self._slowness
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from zinniaweir.dispatch.dispatcher import Bounds
-from zinniaweir.node.candidacy import Candidacy
+from zinniaweir.node.candidacy import STRONG_CORES, Candidacy, handicap_of
 from zinniaweir.node.owner import Owner
 from zinniaweir.node.ports import (
     Decoder,
@@ -65,6 +65,7 @@
         bounds: The platform's times.
         counters: Counts what happens.
         timers: Measures waits and jobs.
+        cores: The VM's processor time, in cores.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         bounds: Bounds,
         counters: Counters,
         timers: Timers,
+        cores: float = STRONG_CORES,
     ) -> None:
         self._me = vm
         self._vm = vm.vm
@@ -96,6 +98,7 @@
             vm=vm.vm,
             incarnation=self._incarnation,
             delay=random.uniform(0.0, CLAIM_SPREAD_SECONDS),
+            handicap=handicap_of(cores),
         )
         self._owner: Owner | None = None
         self._ended_epoch = 0
--- a/packages/node/tests/test_candidacy.py
+++ b/packages/node/tests/test_candidacy.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from zinniaweir.node.candidacy import Candidacy
+from zinniaweir.node.candidacy import Candidacy, handicap_of
 from zinniaweir.workloads.records import OwnerClaim
 
 
@@ -67,3 +67,15 @@
     last = 9 * 0.75
     assert not slow.should_claim(claim(beat=9), fresh_at=last + 1.5)
     assert slow.should_claim(claim(beat=9), fresh_at=last + 3.0)
+
+
+def test_a_weak_vm_leaves_a_vacancy_to_stronger_ones_for_a_moment() -> None:
+    """Guards against an owner of many workers on a VM with half a core beside idle large ones."""
+    weak = Candidacy(vm="v1", incarnation="mine", delay=0.0, handicap=handicap_of(0.5))
+    weak.read(None, previous_at=0.0, at=0.1)
+    assert not weak.should_claim(None, fresh_at=0.1)
+    weak.read(None, previous_at=0.1, at=0.5)
+    assert weak.should_claim(None, fresh_at=0.5)
+    strong = Candidacy(vm="v2", incarnation="its", delay=0.0, handicap=handicap_of(2.0))
+    strong.read(None, previous_at=0.0, at=0.1)
+    assert strong.should_claim(None, fresh_at=0.1)
