--- a/bench/dispatch/replay.py
+++ b/bench/dispatch/replay.py
@@ -10,7 +10,8 @@
 from typing import Any, Final
 
 from bench.dispatch.workloads import RACK_SIZE, SERVICE, Arrival, Deployment
-from zinniaweir.dispatch.dispatcher import Bounds, Dispatcher
+from zinniaweir.dispatch.bounds import Bounds
+from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.messages import (
     End,
     EndRow,
@@ -107,7 +108,10 @@
         """Share of the work that is saved, by unit."""
         self.done_at: dict[str, float] = {}
         self.dispatcher = Dispatcher(
-            now=self._now, predecessor_gone=True, bounds=Bounds(), reporter=self
+            now=self._now,
+            predecessor_gone=True,
+            bounds=Bounds(stop_seconds=deployment.stop_seconds),
+            reporter=self,
         )
         total = 8 * deployment.workers * deployment.guaranteed_share
         each = int(total / deployment.customers)
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from zinniaweir.dispatch.bounds import Bounds
 from zinniaweir.dispatch.fleet import GONE_SECONDS, SILENCE_SECONDS, Fleet, Worker
 from zinniaweir.dispatch.health import STALL_SECONDS, Health
 from zinniaweir.dispatch.inheritance import Inheritance
@@ -38,20 +39,6 @@
 """A lease of a worker whose clock was never read lasts at most this much longer."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Bounds:
-    """Times that the platform promises for its workers."""
-
-    longest_lease_seconds: float = 6.0
-    lease_of_start_seconds: float = 3.0
-    """A start that arrives later is rejected, and the first look must renew it within this."""
-    renewal_seconds: float = 5.0
-    """How long an owner that cannot write to the log goes on renewing leases. Longer would keep
-    work alive in longer outages, and would delay the restart of work on lost workers."""
-    keep_seconds: float = 180.0
-    """How long an ended job can be asked for."""
-
-
 @dataclass(kw_only=True)
 class Changes:
     """What is to be written to the log, and what may be done once it is there."""
@@ -111,6 +98,7 @@
             health=self._health,
             run_times=self._run_times,
             reporter=reporter,
+            bounds=bounds,
         )
 
     @property
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from zinniaweir.dispatch.dispatcher import Bounds, Dispatcher
+from zinniaweir.dispatch.bounds import Bounds
+from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.messages import (
     End,
     EndRow,
