--- a/bench/dispatch/replay.py
+++ b/bench/dispatch/replay.py
@@ -110,7 +110,7 @@
         self.dispatcher = Dispatcher(
             now=self._now,
             predecessor_gone=True,
-            bounds=Bounds(stop_seconds=deployment.stop_seconds),
+            bounds=Bounds(),
             reporter=self,
         )
         total = 8 * deployment.workers * deployment.guaranteed_share
--- a/packages/dispatch/src/zinniaweir/dispatch/bounds.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/bounds.py
@@ -15,9 +15,5 @@
     renewal_seconds: float = 5.0
     """How long an owner that cannot write to the log goes on renewing leases. Longer would keep
     work alive in longer outages, and would delay the restart of work on lost workers."""
-    stop_seconds: float = 0.9
-    """Longest time that a stopped task takes to leave."""
-    reclaim_seconds: float = 3.4
-    """Longest time between the acceptance of guaranteed work and the start of all its tasks."""
     keep_seconds: float = 180.0
     """How long an ended job can be asked for."""
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -98,7 +98,6 @@
             health=self._health,
             run_times=self._run_times,
             reporter=reporter,
-            bounds=bounds,
         )
 
     @property
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from zinniaweir.dispatch.bounds import Bounds
 from zinniaweir.dispatch.fleet import SILENCE_SECONDS, Fleet, Worker
 from zinniaweir.dispatch.guarantees import covered_jobs
 from zinniaweir.dispatch.health import Health
@@ -42,7 +41,6 @@
         health: The standing of workers.
         run_times: Expected durations.
         reporter: Takes log lines and counts.
-        bounds: The platform's times.
     """
 
     def __init__(
@@ -52,13 +50,11 @@
         health: Health,
         run_times: RunTimes,
         reporter: Reporter,
-        bounds: Bounds,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
         self._reporter = reporter
-        self._bounds = bounds
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
@@ -118,8 +114,6 @@
             lasting=[w for w in self._fleet if self.lasting(w)],
             place=place,
             stop=stop,
-            stop_seconds=self._bounds.stop_seconds,
-            reclaim_seconds=self._bounds.reclaim_seconds,
         )
         one_pass = PlanningPass(
             context=context,
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -23,10 +23,6 @@
 """Units that room is kept for at one time; more would leave too much idle."""
 PREEMPTION_SECONDS: Final = 1.2
 """How long stopped work may take to leave before more is stopped; a stop takes 0.9 s at most."""
-START_SECONDS: Final = 0.15
-"""Between a decision and the start of its tasks: an append to the log and a call."""
-RECLAIM_MARGIN_SECONDS: Final = 0.8
-"""Work for a guarantee starts this long before the platform's bound, as stops may be slow."""
 SEARCH_SECONDS: Final = 0.15
 """How often work to stop is searched for one unit; a search looks at all that runs."""
 PREEMPTION_RATIO: Final = 2.0
@@ -68,10 +64,6 @@
     """Workers that are usable, or will soon be."""
     place: Callable[[Unit, list[Worker]], None]
     stop: Callable[[Unit, str], None]
-    stop_seconds: float
-    """How long stopped work may take to leave."""
-    reclaim_seconds: float
-    """How long a customer may wait for its guarantee."""
 
 
 class PlanningPass:
@@ -212,7 +204,7 @@
         now = self._now
         if unit.room_asked_at is not None and now - unit.room_asked_at < PREEMPTION_SECONDS:
             return
-        if not self._worth_stopping(unit, found, covered=covered):
+        if not covered and found.tier > 0:
             return
         if unit.room_sought_at is not None and now - unit.room_sought_at < SEARCH_SECONDS:
             return
@@ -240,20 +232,6 @@
             )
             self._context.stop(victim, "preempted")
 
-    def _worth_stopping(self, unit: Unit, found: Rank, *, covered: bool) -> bool:
-        """Return whether work is stopped now, so that a unit starts when that work has left.
-
-        Work beyond a guarantee must still be in time then. A guarantee is given back in any case,
-        but where that is too late for the objective, room that comes free until the last moment
-        is waited for.
-        """
-        context = self._context
-        ready_at = self._now + context.stop_seconds + START_SECONDS
-        if found.tier == 0 and ready_at <= found.latest_start:
-            return True
-        last = unit.job.accepted_at + context.reclaim_seconds - RECLAIM_MARGIN_SECONDS
-        return covered and ready_at >= last
-
     def _keep_room(self, unit: Unit, found: Rank, spread: bool) -> None:
         if len(self._reservations) >= MAX_RESERVATIONS or found.tier > 1:
             return
