dispatch: room kept for more than two units takes at most 0.3 of the workers

Cause: with room kept for four units a cluster of 16 workers drains: all workers are kept, the cluster counts as idle, small work fills it again, and no gang starts. Found by a test of a stream of small tasks beside four wide gangs: 2 started within 8 s with two units, none with four. Change: beyond two units only while the kept workers are at most 0.3 of the usable ones. The test fails without it. A second test counts that a round computes room only where seats changed. Conclusion: small sites behave as before with two units, grown ones keep room for up to four.

--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -21,6 +21,10 @@
 
 MAX_RESERVATIONS: Final = 4
 """Units that room is kept for at one time; more would leave too much idle."""
+SURE_RESERVATIONS: Final = 2
+"""Units that room is kept for whatever share of the workers they take."""
+RESERVED_SHARE: Final = 0.3
+"""Share of the workers that may be kept for more units than that."""
 PREEMPTION_SECONDS: Final = 1.2
 """How long stopped work may take to leave before more is stopped; a stop takes 0.9 s at most."""
 SEARCH_SECONDS: Final = 0.15
@@ -233,7 +237,7 @@
             self._context.stop(victim, "preempted")
 
     def _keep_room(self, unit: Unit, found: Rank, spread: bool) -> None:
-        if len(self._reservations) >= MAX_RESERVATIONS or found.tier > 1:
+        if found.tier > 1 or not self._may_reserve(unit):
             return
         if len(unit.indexes) == 1 and not _large(unit.step, self._usable):
             return
@@ -247,6 +251,13 @@
         if reservation is not None and reservation.ready_at > self._now:
             self._reservations.append(reservation)
 
+    def _may_reserve(self, unit: Unit) -> bool:
+        count = len(self._reservations)
+        if count < SURE_RESERVATIONS:
+            return True
+        kept = sum(len(r.workers) for r in self._reservations) + len(unit.indexes)
+        return count < MAX_RESERVATIONS and kept <= RESERVED_SHARE * len(self._usable)
+
     def _free_at(self, worker: Worker, unit: Unit) -> float:
         if worker.fits(unit.demand) >= worker.fits_empty(unit.demand):
             return self._now
--- a/packages/dispatch/tests/test_planning.py
+++ b/packages/dispatch/tests/test_planning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from zinniaweir.dispatch import fleet
 from zinniaweir.dispatch.messages import StartAnswer
 from zinniaweir.workloads.queues import Customer
 from zinniaweir.workloads.spec import StepSpec
@@ -197,3 +198,45 @@
     assert not list(world.seats("gang"))
     world.run(1.5)
     assert len(list(world.seats("gang"))) == 4
+
+
+def test_a_round_computes_room_only_where_seats_changed(monkeypatch) -> None:
+    """Guards against decision rounds that cost a search of all workers for each waiting unit."""
+    world = World(*racks(4, 4))
+    world.seconds = 60.0
+    for n in range(16):
+        world.add(job(f"old{n}", LARGE))
+    world.run(0.5)
+    for n in range(20):
+        world.add(job(f"waits{n}", gang(4), priority=1))
+    world.run(0.2)
+    computed = []
+    monkeypatch.setattr(fleet, "fit_count", lambda *a, **k: computed.append(1) or 0)
+    world.add(job("one-more", gang(4), priority=1))
+    world.step()
+    assert not computed
+
+
+def wide_gangs_that_start(world: World, *, small: int, rate: int) -> int:
+    """Return how many of four wide gangs start within 8 s of a stream of small tasks."""
+    for n in range(small):
+        world.add(job(f"small{n}", SMALL))
+        world.durations[f"small{n}"] = 1.0 + n % 12 * 0.5
+    world.run(0.5)
+    step = StepSpec(count=4, memory_mb=140_000, accelerators=8, gang=True, estimate_ms=9_000)
+    for n in range(4):
+        world.add(job(f"wide{n}", step, slack_factor=2.0))
+        world.durations[f"wide{n}"] = 30.0
+    started: set[str] = set()
+    for n in range(80):
+        for k in range(rate):
+            world.add(job(f"later{n}-{k}", SMALL, slack_factor=9.0))
+            world.durations[f"later{n}-{k}"] = 3.0 + k % 3
+        world.run(0.1)
+        started |= {f"wide{k}" for k in range(4) if any(s.started for s in world.seats(f"wide{k}"))}
+    return len(started)
+
+
+def test_wide_gangs_on_a_small_cluster_do_not_drain_it_for_each_other() -> None:
+    """Guards against room kept for so many gangs that none of them starts."""
+    assert wide_gangs_that_start(World(*racks(4, 4)), small=128, rate=3) >= 2
