--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup demo playground test lint format bench soak
+.PHONY: setup demo playground test lint format bench soak soak-platform
 
 setup: $(STAMP)
 
@@ -39,3 +39,6 @@
 
 soak: setup
 	$(PY) -m zinniaweir_testkit.soak --seed $(or $(SEED),1)
+
+soak-platform: setup
+	$(PY) -m zinniaweir_soak.main --seed $(or $(SEED),1) --count $(or $(COUNT),1)
