--- a/bench/dispatch/replay.py
+++ b/bench/dispatch/replay.py
@@ -61,7 +61,7 @@
     number: int = 0
 
 
-@dataclass(kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class Figures:
     """What one run showed."""
 
@@ -108,10 +108,7 @@
         """Share of the work that is saved, by unit."""
         self.done_at: dict[str, float] = {}
         self.dispatcher = Dispatcher(
-            now=self._now,
-            predecessor_gone=True,
-            bounds=Bounds(),
-            reporter=self,
+            now=self._now, predecessor_gone=True, bounds=Bounds(), reporter=self
         )
         total = 8 * deployment.workers * deployment.guaranteed_share
         each = int(total / deployment.customers)
