node: VMs claim a vacancy one after the other

As the owner released at 12.2 s, 37 VMs claimed at once. The claims kept the slow partition busy beyond its 2 s queue, the next owner's renewals were answered 503 and it was replaced too, with 49 more claims; between 11 and 17 s some 50 units were placed instead of 250. Ruled out: workers and the planner; nothing waits in the seconds before. Change: all VMs rank each other by a hash of epoch and name, strong ones first, and wait for their rank times 0.1 s, and longer on a slow log. A VM's record tells whether it is strong. A restarted owner still claims at once. The random delay goes. Tests of the order fail before (there was none).

--- a/packages/node/src/zinniaweir/node/candidacy.py
+++ b/packages/node/src/zinniaweir/node/candidacy.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
+from zlib import crc32
 
-from zinniaweir.workloads.records import OwnerClaim
+from zinniaweir.workloads.records import OwnerClaim, VmAddress
 
 BEAT_SECONDS: Final = 0.3
 """How often an owner renews its claim."""
@@ -23,15 +25,33 @@
 """An owner of 176 workers uses 0.4 of a core over a day and several times that in a burst."""
 HANDICAP_SECONDS: Final = 0.3
 """How long a VM with less leaves the ownership to stronger ones; one read of the log is shorter."""
+CLAIM_STEP_SECONDS: Final = 0.1
+"""Pause of a VM for each that claims before it; a claim is read by others within this."""
+CLAIM_SLOW_STEPS: Final = 2.0
+"""A slow log delays a claim by its append and by the read that shows it."""
+MOST_PAUSE_SECONDS: Final = 3.0
+"""Longest pause, in case that all VMs before this one are gone."""
 
 
-def handicap_of(cores: float) -> float:
-    """Return how long a VM leaves a vacancy to others.
+def claim_rank(vm: str, vms: Iterable[VmAddress], *, last: OwnerClaim | None) -> int:
+    """Return how many other VMs claim before a VM.
+
+    All VMs compute the same order, so that one claims and the others see it: claims of all at once
+    delay each other on a slow log, and the winner's renewals too.
 
     Args:
-        cores: The processor time that it has, in cores.
+        vm: The VM.
+        vms: All VMs that are known; some may be gone.
+        last: The claim that is to be replaced.
     """
-    return 0.0 if cores >= STRONG_CORES else HANDICAP_SECONDS
+    epoch, former = (last.epoch, last.vm) if last else (0, "")
+    order = sorted(
+        (not other.strong, crc32(f"{epoch}/{other.vm}".encode()), other.vm)
+        for other in vms
+        if other.vm != former
+    )
+    names = [name for _, _, name in order]
+    return names.index(vm) if vm in names else 0
 
 
 class Candidacy:
@@ -72,6 +92,15 @@
             self._quiet_since = at
         self._seen = seen
 
+    def pause(self, rank: int) -> float:
+        """Return how long to wait before a claim, in seconds.
+
+        Args:
+            rank: How many other VMs claim before.
+        """
+        step = CLAIM_STEP_SECONDS + CLAIM_SLOW_STEPS * self._slowness
+        return min(rank * step, MOST_PAUSE_SECONDS)
+
     def should_claim(self, claim: OwnerClaim | None, *, fresh_at: float) -> bool:
         """Return whether to claim now.
 
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from zinniaweir.dispatch.bounds import Bounds
-from zinniaweir.node.candidacy import STRONG_CORES, Candidacy, handicap_of
+from zinniaweir.node.candidacy import HANDICAP_SECONDS, Candidacy, claim_rank
 from zinniaweir.node.owner import Owner
 from zinniaweir.node.ports import (
     Decoder,
@@ -41,10 +41,8 @@
     vm_key,
 )
 
-CLAIM_SPREAD_SECONDS: Final = 0.3
-"""VMs that see an owner silent claim at different times within this."""
 CLAIM_PAUSE_SECONDS: Final = 0.1
-"""Longest pause before a claim, so that few VMs claim at once, and pause after one that failed."""
+"""Longest random pause before a claim, beside that of its rank, and pause after one that failed."""
 ANNOUNCE_SECONDS: Final = 0.5
 """Pause before the VM's address is written down again."""
 SEQUENCES: Final = 2**31
@@ -65,7 +63,6 @@
         bounds: The platform's times.
         counters: Counts what happens.
         timers: Measures waits and jobs.
-        cores: The VM's processor time, in cores.
     """
 
     def __init__(
@@ -79,7 +76,6 @@
         bounds: Bounds,
         counters: Counters,
         timers: Timers,
-        cores: float = STRONG_CORES,
     ) -> None:
         self._me = vm
         self._vm = vm.vm
@@ -97,8 +93,8 @@
         self._candidacy = Candidacy(
             vm=vm.vm,
             incarnation=self._incarnation,
-            delay=random.uniform(0.0, CLAIM_SPREAD_SECONDS),
-            handicap=handicap_of(cores),
+            delay=0.0,
+            handicap=0.0 if vm.strong else HANDICAP_SECONDS,
         )
         self._owner: Owner | None = None
         self._ended_epoch = 0
@@ -199,10 +195,16 @@
             if self._mine(claim):
                 await self._own(claim)
             elif self._candidacy.should_claim(claim, fresh_at=self._view.jobs.fresh_at):
-                await asyncio.sleep(random.uniform(0.0, CLAIM_PAUSE_SECONDS))
+                await asyncio.sleep(self._claim_pause(claim))
                 if self._view.book.claim is claim and not self._stopping:
                     await self._try_claim(claim)
 
+    def _claim_pause(self, last: OwnerClaim | None) -> float:
+        if last is not None and last.vm == self._vm:
+            return 0.0
+        rank = claim_rank(self._vm, self._view.book.vms.values(), last=last)
+        return self._candidacy.pause(rank) + random.uniform(0.0, CLAIM_PAUSE_SECONDS)
+
     def _mine(self, claim: OwnerClaim | None) -> bool:
         return (
             claim is not None
--- a/packages/node/tests/test_candidacy.py
+++ b/packages/node/tests/test_candidacy.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from zinniaweir.node.candidacy import Candidacy, handicap_of
-from zinniaweir.workloads.records import OwnerClaim
+from zinniaweir.node.candidacy import HANDICAP_SECONDS, Candidacy, claim_rank
+from zinniaweir.workloads.records import OwnerClaim, VmAddress
 
 
 def candidacy() -> Candidacy:
@@ -71,11 +71,39 @@
 
 def test_a_weak_vm_leaves_a_vacancy_to_stronger_ones_for_a_moment() -> None:
     """Guards against an owner of many workers on a VM with half a core beside idle large ones."""
-    weak = Candidacy(vm="v1", incarnation="mine", delay=0.0, handicap=handicap_of(0.5))
+    weak = Candidacy(vm="v1", incarnation="mine", delay=0.0, handicap=HANDICAP_SECONDS)
     weak.read(None, previous_at=0.0, at=0.1)
     assert not weak.should_claim(None, fresh_at=0.1)
     weak.read(None, previous_at=0.1, at=0.5)
     assert weak.should_claim(None, fresh_at=0.5)
-    strong = Candidacy(vm="v2", incarnation="its", delay=0.0, handicap=handicap_of(2.0))
+    strong = Candidacy(vm="v2", incarnation="its", delay=0.0, handicap=0.0)
     strong.read(None, previous_at=0.0, at=0.1)
     assert strong.should_claim(None, fresh_at=0.1)
+
+
+def test_one_of_many_vms_claims_a_vacancy_and_the_others_wait_for_it() -> None:
+    """Guards against claims of all VMs at once, which keep a slow log busy for seconds."""
+    vms = [
+        VmAddress(vm=f"v{n}", address="", failure_domain="", strong=n % 6 == 0) for n in range(38)
+    ]
+    last = claim(vm="v0", epoch=4, released=True)
+    ranks = {vm.vm: claim_rank(vm.vm, vms, last=last) for vm in vms if vm.vm != "v0"}
+    assert sorted(ranks.values()) == list(range(37))
+    assert all(ranks[vm.vm] < 6 for vm in vms[1:] if vm.strong)
+    watch = candidacy()
+    assert watch.pause(0) == 0.0
+    at = 0.0
+    for _ in range(20):
+        watch.read(last, previous_at=at, at=at + 0.9)
+        at += 0.9
+    assert watch.pause(1) > 0.8
+
+
+def test_the_order_of_claims_changes_with_the_epoch() -> None:
+    """Guards against vacancies that wait for the same lost VM each time."""
+    vms = [VmAddress(vm=f"v{n}", address="", failure_domain="") for n in range(6)]
+    first = {
+        next(v.vm for v in vms if claim_rank(v.vm, vms, last=claim(vm="x", epoch=epoch)) == 0)
+        for epoch in range(12)
+    }
+    assert len(first) > 1
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -103,6 +103,8 @@
     address: str
     """As `host:port`."""
     failure_domain: str
+    strong: bool = True
+    """Whether it has the processor time to own scheduling well."""
 
 
 Record: TypeAlias = Submission | Cancellation | Progress | OwnerClaim | VmAddress
