dispatch: same order of commands in every process

Change: dictionaries and tuples keep the order of insertion. Test: with three other hash functions the events of a load with preemption and cancellation are equal; it fails before the change.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -99,8 +99,9 @@
         self._dirty: dict[str, OwnedJob] = {}
         self._placed: list[Assignment] = []
         self._acknowledgements: dict[str, Acknowledgement] = {}
-        self._starting: set[Assignment] = set()
-        self._stopping: set[Assignment] = set()
+        # Dictionaries instead of sets, so that commands have the same order in every process.
+        self._starting: dict[Assignment, None] = {}
+        self._stopping: dict[Assignment, None] = {}
         self._changed = True
         self._planned_at = float("-inf")
         self._planner = Planner(
@@ -155,7 +156,7 @@
             self._adopt(assignment)
             if job.closed:
                 assignment.stop_reason = "job_closed"
-                self._stopping.add(assignment)
+                self._stopping[assignment] = None
         self._log(
             "job_taken",
             job_id=job_id,
@@ -493,7 +494,7 @@
     def _mark_started(self, assignment: Assignment, now: float) -> None:
         if assignment.started:
             return
-        self._starting.discard(assignment)
+        self._starting.pop(assignment, None)
         assignment.started, assignment.started_at = True, now
         assignment.progress_at = now
         self._reporter.measure("start", now - assignment.placed_at, assignment.unit.job.terms.name)
@@ -513,8 +514,8 @@
         worker = self._fleet.get(assignment.worker)
         if worker is not None:
             worker.unassign(assignment)
-        self._starting.discard(assignment)
-        self._stopping.discard(assignment)
+        self._starting.pop(assignment, None)
+        self._stopping.pop(assignment, None)
         self._changed = True
         unit, job = assignment.unit, assignment.unit.job
         if unit.assignments.get(assignment.index) is not assignment:
@@ -595,7 +596,7 @@
         )
         for assignment in assignments:
             assignment.stop_reason = reason
-            self._stopping.add(assignment)
+            self._stopping[assignment] = None
             self._count("stops", reason)
             if assignment.first_sent_at is None and not assignment.inherited:
                 self._end(assignment, RunEnd.LOST, "", now, cause="never_sent")
@@ -614,7 +615,7 @@
             )
             unit.assignments[index] = assignment
             worker.assign(assignment)
-            self._starting.add(assignment)
+            self._starting[assignment] = None
             self._placed.append(assignment)
         self._dirty[unit.job.job_id] = unit.job
         self._reporter.measure("placement_wait", now - unit.waiting_since, unit.job.terms.name)
--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,7 +25,7 @@
 class Eviction:
     """Units to preempt, and the workers that this frees."""
 
-    units: frozenset[Unit]
+    units: tuple[Unit, ...]
     workers: tuple[str, ...]
     lost_core_seconds: float
     """Lost work in core-seconds."""
@@ -79,7 +79,7 @@
     A gang that is preempted on one worker frees its other workers at no further cost.
     """
     needed = len(unit.indexes)
-    evicted: set[Unit] = set()
+    evicted: dict[Unit, None] = {}
     chosen: list[str] = []
     left = list(workers)
     lost_core_seconds = 0.0
@@ -88,13 +88,13 @@
         if not options:
             return None
         best = min(options, key=lambda o: (o.lost_core_seconds / o.count, -o.count, o.worker.name))
-        evicted |= best.units
+        evicted |= dict.fromkeys(best.units)
         lost_core_seconds += best.lost_core_seconds
         needed -= best.count
         chosen.append(best.worker.name)
         left.remove(best.worker)
     return Eviction(
-        units=frozenset(evicted), workers=tuple(chosen), lost_core_seconds=lost_core_seconds
+        units=tuple(evicted), workers=tuple(chosen), lost_core_seconds=lost_core_seconds
     )
 
 
@@ -102,12 +102,12 @@
 class _Option:
     worker: Worker
     count: int
-    units: frozenset[Unit]
+    units: tuple[Unit, ...]
     lost_core_seconds: float
 
 
 def _option(
-    unit: Unit, worker: Worker, needed: int, evicted: set[Unit], now: float
+    unit: Unit, worker: Worker, needed: int, evicted: Collection[Unit], now: float
 ) -> _Option | None:
     """Return the option with the least lost work per task to fit some tasks on a worker."""
     step, entry = unit.step, worker.entry
@@ -119,11 +119,12 @@
     accelerators = entry.accelerators - worker.used_accelerators
     preemptible = [a for a in worker.assignments.values() if _may_stop(a, unit, evicted)]
     preemptible.sort(key=lambda a: _stop_cost(a, evicted, now))
-    units: set[Unit] = set()
+    new_units: dict[Unit, None] = {}
     best: _Option | None = None
     for assignment in [None, *preemptible]:
         if assignment is not None:
-            units.add(assignment.unit)
+            if assignment.unit not in evicted:
+                new_units[assignment.unit] = None
             cpu += assignment.unit.step.cpu_millis
             memory += assignment.unit.step.memory_mb
             accelerators += assignment.unit.step.accelerators
@@ -131,12 +132,11 @@
         count = min(max_count, fits)
         if count <= 0:
             continue
-        new_units = units - evicted
         lost_core_seconds = sum(lost_core_seconds_of(u, now=now) for u in new_units)
         option = _Option(
             worker=worker,
             count=count,
-            units=frozenset(new_units),
+            units=tuple(new_units),
             lost_core_seconds=lost_core_seconds,
         )
         if best is None or lost_core_seconds / count < best.lost_core_seconds / best.count:
@@ -146,13 +146,13 @@
     return best
 
 
-def _may_stop(assignment: Assignment, unit: Unit, evicted: Iterable[Unit]) -> bool:
+def _may_stop(assignment: Assignment, unit: Unit, evicted: Collection[Unit]) -> bool:
     if assignment.stop_reason or assignment.unit in evicted:
         return True
     return assignment.unit.job.terms.priority > unit.job.terms.priority
 
 
-def _stop_cost(assignment: Assignment, evicted: set[Unit], now: float) -> float:
+def _stop_cost(assignment: Assignment, evicted: Collection[Unit], now: float) -> float:
     if assignment.stop_reason or assignment.unit in evicted:
         return 0.0
     return lost_core_seconds_of(assignment.unit, now=now)
