node, dispatch, platform: permissions that ran out, and inputs that end an ownership

A VM that owned again after a while counted an old list of workers as fresh, and a fresh read before 'no such job' could be partial. A tail now says where the stream ends; only a read that reached it makes the view fresh, and catch_up reads on. - A start without an answer was sent again for 3 s whatever had become of its worker (drain 2 s). Records are checked when they are decoded, a record that fails is skipped, a job whose planning fails is set aside, each counted and logged with its id; the owner goes on.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -226,21 +226,23 @@
                 self._end(assignment, RunEnd.LOST, "", now, cause="not_listed")
 
     def prepare_start(self, assignment: Assignment, *, now: float) -> bool:
-        """Check a start that is about to be sent and mark it as sent.
+        """Check a start that is about to be sent, again or for the first time, and mark it as sent.
 
-        If its worker may not receive work any more, the assignment is ended.
+        If its worker may not receive work any more and cannot have received the start, the
+        assignment is ended.
 
         Returns:
-            False if the start must not be sent any more.
+            False if the start must not be sent now.
         """
         worker = self._worker_of(assignment)
         if worker is None or assignment.stop_reason or assignment.started:
             return False
-        if assignment.first_sent_at is None:
-            exclusion_reason = self._planner.exclusion_reason(worker, now)
-            if exclusion_reason:
+        exclusion_reason = self._planner.exclusion_reason(worker, now)
+        if exclusion_reason:
+            if not assignment.start_unanswered:
                 self._end(assignment, RunEnd.LOST, "", now, cause=f"worker_{exclusion_reason}")
-                return False
+            return False
+        if assignment.first_sent_at is None:
             assignment.first_sent_at = now
             lease_ms = int(self._time_limits.start_lease_seconds * 1e3)
             assignment.start_deadline_ms = int(worker.clock.latest(now)) + lease_ms
@@ -248,6 +250,7 @@
         elif worker.clock.earliest(now) >= assignment.start_deadline_ms:
             return False
         assignment.sent_at, assignment.start_in_flight = now, True
+        assignment.send_until = self._planner.starts_allowed_until
         return True
 
     def handle_start_answer(
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
 
@@ -62,6 +63,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
         self._claims: dict[str, _WorkerClaim] = {}
+        self._set_aside: set[str] = set()
 
     def configure(self, configuration: Configuration, evacuated: frozenset[str]) -> None:
         """Apply the operators' settings.
@@ -77,6 +79,11 @@
         """Record when the settings and the list of workers were read, in seconds."""
         self._view_at = max(self._view_at, read_at)
 
+    @property
+    def starts_allowed_until(self) -> float:
+        """Time until which the view is recent enough for starts, in seconds."""
+        return self._view_at + MAX_START_VIEW_AGE_SECONDS
+
     def usable_soon(self, worker: Worker) -> bool:
         """Return whether a worker is neither missing, draining nor evacuated.
 
@@ -90,7 +97,7 @@
 
     def exclusion_reason(self, worker: Worker, now: float) -> str:
         """Return why a worker may not receive work now, or an empty string if it may."""
-        if now - self._view_at > MAX_START_VIEW_AGE_SECONDS:
+        if now > self.starts_allowed_until:
             return "view_too_old"
         if worker.listed_at is None:
             return "not_listed"
@@ -117,7 +124,7 @@
             place: Called for each unit that is placed.
             stop: Called for each unit that is preempted.
         """
-        open_jobs = [job for job in jobs if not job.closed]
+        open_jobs = [job for job in jobs if not job.closed and job.job_id not in self._set_aside]
         waiting = [job for job in open_jobs if any(True for _ in job.ready_units())]
         if not waiting or now - self._view_at > MAX_PLACEMENT_VIEW_AGE_SECONDS:
             return
@@ -138,14 +145,28 @@
             reporter=self._reporter,
         )
         for job, job_rank in self._ranked(waiting, covered, now):
-            for unit in list(job.ready_units()):
-                planning_pass.schedule_unit(unit, job_rank, covered=job.job_id in covered)
+            with self._set_aside_on_fault(job):
+                for unit in list(job.ready_units()):
+                    planning_pass.schedule_unit(unit, job_rank, covered=job.job_id in covered)
+
+    @contextmanager
+    def _set_aside_on_fault(self, job: OwnedJob) -> Iterator[None]:
+        """Stop placing a job whose planning fails, so that the other jobs go on."""
+        try:
+            yield
+        except Exception as error:
+            self._set_aside.add(job.job_id)
+            self._reporter.count("job_faults", type(error).__name__)
+            self._reporter.log("job_set_aside", job_id=job.job_id, error=repr(error))
 
     def _ranked(
         self, jobs: Sequence[OwnedJob], covered: set[str], now: float
     ) -> list[tuple[OwnedJob, Rank]]:
         """Return jobs in the order of placement; those covered by a guarantee come first."""
-        ranked = [(job, rank(job, self._run_times, now=now)) for job in jobs]
+        ranked: list[tuple[OwnedJob, Rank]] = []
+        for job in jobs:
+            with self._set_aside_on_fault(job):
+                ranked.append((job, rank(job, self._run_times, now=now)))
         ranked.sort(key=lambda pair: (pair[0].job_id not in covered, pair[1]))
         return ranked
 
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -43,6 +43,8 @@
     start_in_flight: bool = False
     start_unanswered: bool = False
     """A copy of the start had no answer, so it may have taken effect."""
+    send_until: float = float("-inf")
+    """Latest time at which the start may leave this VM, in seconds."""
     start_deadline_ms: int = 0
     """Time on the worker's clock after which it rejects the start, in milliseconds."""
     settled_at: float | None = None
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -5,6 +5,7 @@
 import pytest
 
 from zinniaweir.dispatch.messages import RunEnd, StartAnswer
+from zinniaweir.dispatch.planning import MAX_START_VIEW_AGE_SECONDS
 from zinniaweir.dispatch.units import OwnedJob
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.spec import StepSpec
@@ -89,6 +90,38 @@
     assert list(cluster.assignments("j2")) == [assignment]
 
 
+@pytest.mark.parametrize("answer", [StartAnswer.NOT_SENT, StartAnswer.UNKNOWN])
+def test_start_is_not_repeated_on_a_worker_that_began_to_drain(answer: StartAnswer) -> None:
+    """Guards against a start on a worker that leaves.
+
+    The first copy of the start failed before the drain, and it was sent again up to its deadline.
+    """
+    cluster = Cluster(worker_entry("w1"))
+    cluster.tick()
+    cluster.add(job("j1"))
+    cluster.dispatcher.plan(now=cluster.now)
+    cluster.record_changes()
+    (assignment,) = cluster.assignments("j1")
+    assert cluster.dispatcher.prepare_start(assignment, now=cluster.now)
+    cluster.dispatcher.handle_start_answer(assignment, answer, now=cluster.now)
+    draining = worker_entry("w1", draining=True)
+    cluster.dispatcher.update_workers([draining], now=cluster.now)
+    assert not cluster.dispatcher.prepare_start(assignment, now=cluster.now + 0.3)
+    remaining = [assignment] if answer is StartAnswer.UNKNOWN else []
+    assert list(cluster.assignments("j1")) == remaining
+
+
+def test_start_may_leave_only_while_the_view_is_recent(cluster: Cluster) -> None:
+    """Guards against a start that waits for a connection, or in a paused process, and then leaves.
+
+    The settings and the list of workers that allowed it may have changed meanwhile.
+    """
+    cluster.add(job("j1"))
+    cluster.run(0.1)
+    (assignment,) = cluster.assignments("j1")
+    assert assignment.send_until == cluster.now + MAX_START_VIEW_AGE_SECONDS
+
+
 def test_tasks_of_silent_worker_wait_for_end_of_its_lease() -> None:
     """Guards against two runs of a task while a partitioned worker still runs the first one."""
     cluster = Cluster(worker_entry("w1"))
--- a/packages/dispatch/tests/test_planning.py
+++ b/packages/dispatch/tests/test_planning.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from zinniaweir.dispatch import fleet
+from typing import TYPE_CHECKING, Any
+
+from zinniaweir.dispatch import fleet, planning_pass
 from zinniaweir.dispatch.messages import StartAnswer
 from zinniaweir.workloads.queues import Customer
 from zinniaweir.workloads.spec import StepSpec
 
 from .conftest import Cluster, job, worker_entry
 
+if TYPE_CHECKING:
+    import pytest
+
+    from zinniaweir.dispatch.units import Unit
+
 LARGE = StepSpec(count=1, cpu_millis=26_000, memory_mb=140_000, accelerators=8, estimate_ms=8_000)
 SMALL = StepSpec(count=1, cpu_millis=5_600, memory_mb=16_000, accelerators=1, estimate_ms=9_000)
 URGENT_QUEUE = {"name": "checks", "priority": 0, "slack_factor": 1.5, "target_seconds": 0.3}
@@ -49,6 +56,24 @@
     assert all(name.startswith("new") for name in stopped)
 
 
+def test_job_whose_planning_fails_does_not_stop_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one job that ends the ownership of each VM in turn."""
+    choose = planning_pass.choose_workers
+
+    def choose_or_fail(unit: Unit, *args: Any, **options: Any) -> Any:
+        if unit.job.job_id == "faulty":
+            raise IndexError("unexpected")
+        return choose(unit, *args, **options)
+
+    monkeypatch.setattr(planning_pass, "choose_workers", choose_or_fail)
+    cluster = Cluster(*racks(1, 1))
+    cluster.add(job("faulty", SMALL))
+    cluster.add(job("sound", SMALL))
+    cluster.run(1.0)
+    assert len(list(cluster.assignments("sound"))) == 1
+    assert [f["job_id"] for e, f in cluster.events if e == "job_set_aside"] == ["faulty"]
+
+
 def test_urgent_work_beyond_guarantee_does_not_preempt_costly_work() -> None:
     """Guards against a preemption that loses far more work than the urgent work amounts to."""
     cluster = Cluster(*racks(1, 2))
--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Final
 
 from zinniaweir.node.adaptive_timeout import AdaptiveTimeout
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.ports import (
     KeyedRecord,
     Log,
@@ -36,8 +36,8 @@
     Args:
         log_port: The platform's log.
         stream: The stream.
-        reset: Called with the newest record of each key, at the start and after a gap.
-        apply: Called with each later record.
+        reset: Called at the start and after a gap, before the newest record of each key is applied.
+        apply: Called with each record.
         wait_seconds: How long a read waits for a record.
         read_delay_seconds: Delay between two reads.
         counters: Receives counts of failed reads.
@@ -48,7 +48,7 @@
         *,
         log_port: Log,
         stream: Stream,
-        reset: Callable[[list[KeyedRecord]], None],
+        reset: Callable[[], None],
         apply: Callable[[KeyedRecord], None],
         wait_seconds: float,
         read_delay_seconds: float,
@@ -65,6 +65,7 @@
         self._counters = counters
         self._next_offset: int | None = None
         self._fresh_at = float("-inf")
+        self._complete = False
         self._dependency_lost = False
         self._loaded = asyncio.Event()
         self._loading = asyncio.Lock()
@@ -74,13 +75,13 @@
 
     @property
     def fresh_at(self) -> float:
-        """When the last successful read was sent, in seconds of the monotonic clock."""
+        """When the last read that reached the stream's end was sent, in seconds of `boottime`."""
         return self._fresh_at
 
     @property
     def age(self) -> float:
-        """Seconds since the last successful read was sent."""
-        return time.monotonic() - self._fresh_at
+        """Seconds since the last read that reached the end of the stream was sent."""
+        return boottime() - self._fresh_at
 
     @property
     def next_offset(self) -> int | None:
@@ -98,7 +99,7 @@
             try:
                 await self._step()
                 backoff = INITIAL_BACKOFF_SECONDS
-                if self.read_delay_seconds:
+                if self.read_delay_seconds and self._complete:
                     await asyncio.sleep(self.read_delay_seconds)
             except LogError as error:
                 self._on_failure(error)
@@ -111,7 +112,9 @@
         Raises:
             LogError: If the log cannot be read.
         """
-        await self._read(0.0)
+        called_at = boottime()
+        while self._fresh_at < called_at:
+            await self._read(0.0)
 
     async def _step(self) -> None:
         if self._next_offset is None:
@@ -125,7 +128,7 @@
                 await self._load_pages()
 
     async def _load_pages(self) -> None:
-        sent_at = time.monotonic()
+        sent_at = boottime()
         records: list[KeyedRecord] = []
         page = await self._log_port.newest(self._stream)
         end = page.end
@@ -133,8 +136,11 @@
         while page.more and page.records:
             page = await self._log_port.newest(self._stream, after=page.records[-1].key)
             records += page.records
-        self._reset(records)
+        self._reset()
+        for record in records:
+            self._apply_record(record)
         self._next_offset = end
+        self._complete = True
         self._on_read(sent_at)
         self._loaded.set()
         log("stream_loaded", stream=self._stream, records=len(records), offset=end)
@@ -144,7 +150,7 @@
         if start is None:
             await self._load()
             return
-        sent_at = time.monotonic()
+        sent_at = boottime()
         try:
             tail = await self._log_port.read(
                 self._stream,
@@ -163,13 +169,33 @@
         for record in tail.records:
             if record.offset == self._next_offset:
                 self._next_offset = record.offset + 1
-                self._apply(record)
+                self._apply_record(record)
+        self._complete = tail.complete
         self._on_read(sent_at)
 
+    def _apply_record(self, record: KeyedRecord) -> None:
+        """Apply a record; one that causes an unexpected error is skipped.
+
+        The error would otherwise end the process of every VM, and end it again after each restart.
+        """
+        try:
+            self._apply(record)
+        except Exception as error:
+            self._counters.add("record_faults", reason=type(error).__name__)
+            log(
+                "record_fault",
+                stream=self._stream,
+                key=record.key,
+                offset=record.offset,
+                error=repr(error),
+            )
+
     def _on_read(self, sent_at: float) -> None:
+        self._timeout.record_answer(max(boottime() - sent_at - self.wait_seconds, 0.0))
+        if not self._complete:
+            return
         since = self._fresh_at
         self._fresh_at = max(since, sent_at)
-        self._timeout.record_answer(max(time.monotonic() - sent_at - self.wait_seconds, 0.0))
         if self._dependency_lost:
             self._dependency_lost = False
             log("dependency_regained", dependency=f"log/{self._stream}", offset=self._next_offset)
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -5,10 +5,10 @@
 import asyncio
 import random
 import secrets
-import time
 from typing import Final
 
 from zinniaweir.dispatch.time_limits import TimeLimits
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.claim_policy import SMALL_VM_DELAY_SECONDS, ClaimPolicy, claim_rank
 from zinniaweir.node.owner import Owner
 from zinniaweir.node.ports import (
@@ -255,7 +255,7 @@
         self._view.jobs.read_delay_seconds = 0.0
         self._view.operators.wait_seconds = OWNER_READ_WAIT_SECONDS
         following = asyncio.create_task(self._view.workers.run())
-        started = time.monotonic()
+        started = boottime()
         try:
             self._owner = owner
             await owner.run()
@@ -266,7 +266,7 @@
             self._view.jobs.read_delay_seconds = REPLICA_READ_DELAY_SECONDS
             self._view.operators.wait_seconds = READ_WAIT_SECONDS
             self._counters.add("ownerships", reason="ended")
-            log("ownership_ended", epoch=claim.epoch, seconds=round(time.monotonic() - started, 2))
+            log("ownership_ended", epoch=claim.epoch, seconds=round(boottime() - started, 2))
 
     def _on_fresh(self, previous_at: float, at: float) -> None:
         self._claim_policy.observe(self._view.job_table.claim, previous_at=previous_at, at=at)
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -12,6 +12,7 @@
 from zinniaweir.dispatch.messages import StartAnswer, TaskId
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.claim_policy import RENEWAL_INTERVAL_SECONDS
 from zinniaweir.node.ports import (
     KeyedRecord,
@@ -60,6 +61,8 @@
 
 It does so if an append takes longer than this.
 """
+FAULT_DELAY_SECONDS: Final = 0.5
+"""Delay after an unexpected error before the failed action is tried again."""
 START_RETRY_INTERVAL_SECONDS: Final = 0.3
 STOP_RETRY_INTERVAL_SECONDS: Final = 0.7
 MAX_SILENCE_FOR_RENEWAL_SECONDS: Final = 1.5
@@ -106,7 +109,7 @@
             log_port=log_port, epoch=claim.epoch, sequence=sequence, counters=counters
         )
         self._dispatcher = Dispatcher(
-            now=time.monotonic(),
+            now=boottime(),
             predecessor_ended=predecessor_ended,
             time_limits=time_limits,
             reporter=OwnerReporter(epoch=claim.epoch, counters=counters, timers=timers),
@@ -133,14 +136,17 @@
         self._wake.set()
 
     def add_job(self, entry: JobEntry) -> None:
-        """Add a job that was read from the log."""
+        """Add a job that was read from the log; one that causes an error is left out."""
         age = max(0.0, time.time() - entry.submission.accepted_at)
-        self._dispatcher.add_job(entry, now=time.monotonic(), age=age)
+        try:
+            self._dispatcher.add_job(entry, now=boottime(), age=age)
+        except Exception as error:
+            self._report_fault(error, job_id=entry.submission.job_id)
         self.wake()
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job whose cancellation was read from the log."""
-        self._dispatcher.cancel_job(job_id, now=time.monotonic())
+        self._dispatcher.cancel_job(job_id, now=boottime())
         self.wake()
 
     def step_down(self) -> None:
@@ -182,17 +188,21 @@
             return
         error = task.exception()
         if error is not None:
-            self._counters.add("owner_faults", reason=type(error).__name__)
-            log("owner_fault", error=repr(error), epoch=self.epoch)
+            self._report_fault(error)
             self._end_requested.set()
 
+    def _report_fault(self, error: BaseException, **context: str) -> None:
+        self._counters.add("owner_faults", reason=type(error).__name__)
+        log("owner_fault", error=repr(error), epoch=self.epoch, **context)
+
     async def _plan_loop(self) -> None:
         while True:
-            now = time.monotonic()
-            self._apply_view(now)
-            self._dispatcher.plan(now=now)
-            self._send_commands(now)
-            self._record_wake.set()
+            try:
+                self._plan_once()
+            except Exception as error:
+                # The next owner would meet the same error, so this one goes on with the rest.
+                self._report_fault(error, action="plan")
+                await asyncio.sleep(FAULT_DELAY_SECONDS)
             self._wake.clear()
             try:
                 async with asyncio.timeout(TICK_INTERVAL_SECONDS):
@@ -201,6 +211,13 @@
             except TimeoutError:
                 continue
 
+    def _plan_once(self) -> None:
+        now = boottime()
+        self._apply_view(now)
+        self._dispatcher.plan(now=now)
+        self._send_commands(boottime())
+        self._record_wake.set()
+
     def _apply_view(self, now: float) -> None:
         view, dispatcher = self._view, self._dispatcher
         if view.configuration is not None:
@@ -247,10 +264,11 @@
             checkpoint=unit.run_checkpoint,
             deadline_ms=assignment.start_deadline_ms,
             epoch=self.epoch,
+            send_until=assignment.send_until,
         )
         if answer is StartAnswer.STALE_EPOCH:
             self._on_fenced(worker)
-        self._dispatcher.handle_start_answer(assignment, answer, now=time.monotonic())
+        self._dispatcher.handle_start_answer(assignment, answer, now=boottime())
         self.wake()
 
     async def _stop(self, assignment: Assignment) -> None:
@@ -258,13 +276,11 @@
         acknowledged = False
         if worker is not None:
             acknowledged = await self._call_stop(worker, assignment.task, assignment.run)
-        self._dispatcher.handle_stop_answer(
-            assignment, acknowledged=acknowledged, now=time.monotonic()
-        )
+        self._dispatcher.handle_stop_answer(assignment, acknowledged=acknowledged, now=boottime())
 
     async def _stop_orphan_run(self, worker: Worker, task: TaskId, run: int) -> None:
         if await self._call_stop(worker, task, run):
-            self._dispatcher.mark_orphan_run_stopped(worker, task, run, now=time.monotonic())
+            self._dispatcher.mark_orphan_run_stopped(worker, task, run, now=boottime())
 
     async def _call_stop(self, worker: Worker, task: TaskId, run: int) -> bool:
         try:
@@ -289,7 +305,7 @@
         """
         dispatcher = self._dispatcher
         while dispatcher.fleet.get(worker.name) is worker:
-            poll_sent_at = time.monotonic()
+            poll_sent_at = boottime()
             lease = self._lease(worker, poll_sent_at)
             wait = BUSY_POLL_WAIT_SECONDS if worker.assignments else IDLE_POLL_WAIT_SECONDS
             try:
@@ -312,9 +328,13 @@
                 )
                 await asyncio.sleep(delay)
                 continue
-            dispatcher.handle_listing(
-                worker, listing, poll_sent_at=poll_sent_at, now=time.monotonic()
-            )
+            try:
+                dispatcher.handle_listing(
+                    worker, listing, poll_sent_at=poll_sent_at, now=boottime()
+                )
+            except Exception as error:
+                self._report_fault(error, action="poll", worker=worker.name)
+                await asyncio.sleep(FAULT_DELAY_SECONDS)
             self.wake()
             if worker.applied_end > worker.acknowledged_end:
                 await asyncio.sleep(self._unacknowledged_delay)
@@ -338,13 +358,13 @@
         return until
 
     async def _record_loop(self) -> None:
-        renewal_at = time.monotonic() + RENEWAL_INTERVAL_SECONDS
+        renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
         while True:
-            changes = self._dispatcher.collect_changes(now=time.monotonic())
+            changes = self._dispatcher.collect_changes(now=boottime())
             records = self._records_of(changes)
             releasing = self._releasing
-            if not changes.is_empty or time.monotonic() >= renewal_at or releasing:
-                renewal_at = time.monotonic() + RENEWAL_INTERVAL_SECONDS
+            if not changes.is_empty or boottime() >= renewal_at or releasing:
+                renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
                 records.append(self._next_renewal())
                 try:
                     await self._recorder.write(records)
@@ -361,14 +381,14 @@
                 continue
             self._record_wake.clear()
             try:
-                async with asyncio.timeout(max(renewal_at - time.monotonic(), 0.0)):
+                async with asyncio.timeout(max(renewal_at - boottime(), 0.0)):
                     await self._record_wake.wait()
             except TimeoutError:
                 continue
 
     def _after_record(self, changes: Changes) -> None:
         self._dispatcher.mark_recorded(changes)
-        now = time.monotonic()
+        now = boottime()
         for assignment in changes.placed:
             if not assignment.stop_reason:
                 self._send_start(assignment, now)
--- a/packages/node/src/zinniaweir/node/ports.py
+++ b/packages/node/src/zinniaweir/node/ports.py
@@ -80,6 +80,16 @@
     records: tuple[KeyedRecord, ...]
     next_offset: int
     """Offset at which the next read starts."""
+    end: int = 0
+    """End of the stream when it was read; a long tail takes several reads.
+
+    0 in the answer of a VM that runs an earlier version.
+    """
+
+    @property
+    def complete(self) -> bool:
+        """Whether it contains all records up to the end of the stream."""
+        return self.next_offset >= self.end
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -145,6 +155,7 @@
         checkpoint: str,
         deadline_ms: int,
         epoch: int,
+        send_until: float,
     ) -> StartAnswer:
         """Start a run of a task.
 
@@ -156,6 +167,7 @@
             checkpoint: Checkpoint to resume from, empty for none.
             deadline_ms: Time on the worker's clock after which it rejects the start.
             epoch: The owner's fencing token.
+            send_until: Time in seconds of `boottime` after which the start must not be sent.
         """
 
     async def stop(self, entry: WorkerEntry, task: TaskId, *, run: int, epoch: int) -> None:
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Final
 
 from zinniaweir.node.adaptive_timeout import AdaptiveTimeout
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.ports import (
     Fence,
     KeyedRecord,
@@ -43,18 +43,18 @@
         self._counters = counters
         self._sequence = sequence
         self._timeout = AdaptiveTimeout()
-        self._confirmed_at = time.monotonic()
+        self._confirmed_at = boottime()
         self._pending_since: float | None = None
 
     @property
     def confirmed_at(self) -> float:
-        """When the last answered append was sent, in seconds of the monotonic clock."""
+        """When the last answered append was sent, in seconds of `boottime`."""
         return self._confirmed_at
 
     @property
     def pending_seconds(self) -> float:
         """Seconds since the append in flight was first attempted, 0 if there is none."""
-        return 0.0 if self._pending_since is None else time.monotonic() - self._pending_since
+        return 0.0 if self._pending_since is None else boottime() - self._pending_since
 
     async def write(self, records: list[KeyedRecord]) -> None:
         """Append records, and retry without limit until the log answers.
@@ -67,11 +67,11 @@
             await self._append_batch(batch, Fence(epoch=self._epoch, sequence=self._sequence))
 
     async def _append_batch(self, records: list[KeyedRecord], fence: Fence) -> None:
-        self._pending_since = started = time.monotonic()
+        self._pending_since = started = boottime()
         slow = False
         try:
             while True:
-                sent_at = time.monotonic()
+                sent_at = boottime()
                 try:
                     await self._log_port.append(
                         records, fence=fence, timeout_seconds=self._timeout.seconds
@@ -87,7 +87,7 @@
                         await asyncio.sleep(RETRY_DELAY_SECONDS)
                     continue
                 self._confirmed_at = sent_at
-                self._timeout.record_answer(time.monotonic() - sent_at)
+                self._timeout.record_answer(boottime() - sent_at)
                 return
         finally:
             self._pending_since = None
--- a/packages/node/src/zinniaweir/node/relay.py
+++ b/packages/node/src/zinniaweir/node/relay.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, Protocol, TypeVar
 
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.ports import (
     Fence,
     KeyedRecord,
@@ -103,7 +103,7 @@
         )
 
     async def _call(self, call: Callable[[Log], Awaitable[T]]) -> T:
-        now = time.monotonic()
+        now = boottime()
         failure: NothingDoneError | NoAnswerError = NothingDoneError(
             "the log failed before and is not due for a retry"
         )
@@ -129,7 +129,7 @@
                 result = await call(self._peers.log_at(address))
             except (NothingDoneError, NoAnswerError) as error:
                 self._counters.add("relay_failures", reason=type(error).__name__)
-                self._retry_peer_at[address] = time.monotonic() + PEER_RETRY_DELAY_SECONDS
+                self._retry_peer_at[address] = boottime() + PEER_RETRY_DELAY_SECONDS
                 if isinstance(error, NoAnswerError):
                     failure = error
                 continue
@@ -138,7 +138,7 @@
         raise failure
 
     def _usable_peers(self) -> list[str]:
-        now = time.monotonic()
+        now = boottime()
         found = [a for a in self._addresses() if self._retry_peer_at.get(a, 0.0) <= now]
         return found[:MAX_PEERS_PER_CALL]
 
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -16,6 +16,7 @@
     StateOf,
     UnknownJob,
 )
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.ports import KeyedRecord, Log, LogError, NoAnswerError, NothingDoneError
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
@@ -105,7 +106,7 @@
             terms: The queue.
             job_id: The caller's id for the job.
             spec: The job.
-            deadline: When the caller stops waiting, in seconds of the monotonic clock.
+            deadline: When the caller stops waiting, in seconds of `boottime`.
         """
         if self._view.job_table.get(job_id) is not None:
             return Accepted()
@@ -200,16 +201,16 @@
                 await self._view.jobs.catch_up()
             except LogError:
                 return self.refuse(Refusal.LOG_UNAVAILABLE)
-        margin = ANSWER_MARGIN_SHARE * max(deadline - time.monotonic(), 0.0)
+        margin = ANSWER_MARGIN_SHARE * max(deadline - boottime(), 0.0)
         until = deadline - min(ANSWER_MARGIN_SECONDS, margin)
-        refuse_at = min(until, time.monotonic() + REJECTED_APPEND_TIMEOUT_SECONDS)
+        refuse_at = min(until, boottime() + REJECTED_APPEND_TIMEOUT_SECONDS)
         outcome_unknown = False
         while True:
             try:
-                sent_at = time.monotonic()
+                sent_at = boottime()
                 async with asyncio.timeout(max(until - sent_at, 0.0)):
                     await self._log_port.append([record], timeout_seconds=self._timeout.seconds)
-                self._timeout.record_answer(time.monotonic() - sent_at)
+                self._timeout.record_answer(boottime() - sent_at)
                 return Accepted()
             except (NoAnswerError, TimeoutError):
                 outcome_unknown = True
@@ -222,7 +223,7 @@
                 and self._view.job_table.get(job_id) is not None
             ):
                 return Accepted()
-            now = time.monotonic()
+            now = boottime()
             if now + APPEND_RETRY_DELAY_SECONDS >= (until if outcome_unknown else refuse_at):
                 return self._append_failure(outcome_unknown)
             await asyncio.sleep(APPEND_RETRY_DELAY_SECONDS)
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -93,7 +93,7 @@
 
     @property
     def decisions_fresh_at(self) -> float:
-        """Latest time at which both settings and workers were up to date, in monotonic seconds."""
+        """When both settings and workers were last up to date, in seconds of `boottime`."""
         return min(self.operators.fresh_at, self.workers.fresh_at)
 
     @property
@@ -109,7 +109,7 @@
         self,
         log_port: Log,
         stream: Stream,
-        reset: Callable[[list[KeyedRecord]], None],
+        reset: Callable[[], None],
         apply: Callable[[KeyedRecord], None],
         wait_seconds: float = READ_WAIT_SECONDS,
     ) -> Follower:
@@ -123,10 +123,8 @@
             counters=self._counters,
         )
 
-    def _reset_jobs(self, records: list[KeyedRecord]) -> None:
+    def _reset_jobs(self) -> None:
         self._job_table = JobTable()
-        for record in records:
-            self._apply_job(record)
 
     def _apply_job(self, record: KeyedRecord) -> None:
         if record.value is None:
@@ -146,10 +144,8 @@
             case OwnerClaim():
                 self.on_claim(decoded)
 
-    def _reset_operators(self, records: list[KeyedRecord]) -> None:
+    def _reset_operators(self) -> None:
         self._evacuated = {}
-        for record in records:
-            self._apply_operator(record)
 
     def _apply_operator(self, record: KeyedRecord) -> None:
         if record.value is None:
@@ -181,10 +177,8 @@
             at=round(time.time(), 3),
         )
 
-    def _reset_workers(self, records: list[KeyedRecord]) -> None:
+    def _reset_workers(self) -> None:
         self._workers = {}
-        for record in records:
-            self._apply_worker(record)
 
     def _apply_worker(self, record: KeyedRecord) -> None:
         if record.value is None:
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -73,7 +73,8 @@
             waited += 0.01
             await self._check_reachable()
         records = tuple(self.streams[stream][start:])
-        return Tail(records=records, next_offset=start + len(records))
+        end = start + len(records)
+        return Tail(records=records, next_offset=end, end=end)
 
     async def append(
         self,
@@ -157,6 +158,7 @@
         checkpoint: str,
         deadline_ms: int,
         epoch: int,
+        send_until: float,
     ) -> StartAnswer:
         self.started.append((entry.worker, task, run, epoch))
         return StartAnswer.STARTED
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from typing import TYPE_CHECKING
 
 from zinniaweir.node.follower import Follower
 from zinniaweir.node.ports import KeyedRecord, Page, Stream, Tail, TrimmedError
@@ -10,6 +12,9 @@
 
 from .conftest import MemoryLog
 
+if TYPE_CHECKING:
+    import pytest
+
 
 class Fold:
     """The newest value of each key, as the follower applied it."""
@@ -17,8 +22,8 @@
     def __init__(self) -> None:
         self.values: dict[str, bytes | None] = {}
 
-    def reset(self, records: list[KeyedRecord]) -> None:
-        self.values = {record.key: record.value for record in records}
+    def reset(self) -> None:
+        self.values = {}
 
     def apply(self, record: KeyedRecord) -> None:
         self.values[record.key] = record.value
@@ -58,6 +63,88 @@
         return tail
 
 
+class ShortTailLog(MemoryLog):
+    """A log whose reads return one record at a time."""
+
+    reads = 0
+
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, timeout_seconds: float
+    ) -> Tail:
+        self.reads += 1
+        tail = await super().read(
+            stream, start, wait_seconds=wait_seconds, timeout_seconds=timeout_seconds
+        )
+        return Tail(
+            records=tail.records[:1],
+            next_offset=start + len(tail.records[:1]),
+            end=len(self.streams[stream]),
+        )
+
+
+def test_a_view_is_fresh_only_at_the_end_of_the_stream() -> None:
+    """Guards against work on a worker that has left.
+
+    A VM that had not read for a while counted as fresh after a first read of a long backlog.
+    """
+
+    async def work() -> None:
+        log, fold = ShortTailLog(), Fold()
+        log.put(Stream.JOBS, "a", b"1")
+        stream_follower = follower(log, fold)
+        await stream_follower.catch_up()
+        before = stream_follower.fresh_at
+        for n in range(5):
+            log.put(Stream.JOBS, "a", str(n).encode())
+        await stream_follower._read(0.0)
+        assert stream_follower.fresh_at == before
+        await stream_follower.catch_up()
+        assert fold.values == {"a": b"4"}
+        assert stream_follower.fresh_at > before
+        assert log.reads == 5
+
+    asyncio.run(work())
+
+
+def test_a_suspension_ages_the_view(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against acting on a view from before a suspension of the VM.
+
+    The monotonic clock stands still while a VM is suspended.
+    """
+
+    async def work() -> None:
+        stream_follower = follower(MemoryLog(), Fold())
+        await stream_follower.catch_up()
+        assert stream_follower.age < 1.0
+        read_clock = time.clock_gettime
+        monkeypatch.setattr(time, "clock_gettime", lambda clock: read_clock(clock) + 60.0)
+        assert stream_follower.age >= 60.0
+
+    asyncio.run(work())
+
+
+def test_a_record_that_causes_an_error_is_skipped() -> None:
+    """Guards against one record that ends the process of every VM, again after each restart."""
+
+    class FaultyFold(Fold):
+        def apply(self, record: KeyedRecord) -> None:
+            if record.key == "bad":
+                raise IndexError("unexpected")
+            super().apply(record)
+
+    async def work() -> None:
+        log, fold = MemoryLog(), FaultyFold()
+        log.put(Stream.JOBS, "bad", b"1")
+        stream_follower = follower(log, fold)
+        await stream_follower.catch_up()
+        log.put(Stream.JOBS, "bad", b"2")
+        log.put(Stream.JOBS, "good", b"3")
+        await stream_follower.catch_up()
+        assert fold.values == {"good": b"3"}
+
+    asyncio.run(work())
+
+
 def test_concurrent_loads_leave_no_gap() -> None:
     """Guards against an accepted job that a VM never reads.
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from typing import Any
 
+import pytest
+
+from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node.answers import (
     Accepted,
@@ -16,6 +19,7 @@
     StateOf,
     UnknownJob,
 )
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
 from zinniaweir.node.ports import Log, Stream
 from zinniaweir.telemetry.counters import Counters
@@ -64,9 +68,9 @@
 
 
 async def until(condition: Callable[[], bool], *, seconds: float = 5.0) -> None:
-    end = time.monotonic() + seconds
+    end = boottime() + seconds
     while not condition():
-        assert time.monotonic() < end, "the condition did not come true in time"
+        assert boottime() < end, "the condition did not come true in time"
         await asyncio.sleep(0.01)
 
 
@@ -79,7 +83,7 @@
 
 
 def deadline() -> float:
-    return time.monotonic() + 3.0
+    return boottime() + 3.0
 
 
 def test_simultaneous_claims_give_one_owner(memory_log: MemoryLog) -> None:
@@ -165,7 +169,7 @@
         node = new_node("v1", memory_log, MemoryWorkers())
         async with running(node):
             memory_log.down = True
-            deadline_soon = time.monotonic() + 0.8
+            deadline_soon = boottime() + 0.8
             answer = await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline_soon)
             assert isinstance(answer, OutcomeUnknown)
             await asyncio.sleep(0.5)
@@ -213,6 +217,38 @@
     run(work())
 
 
+@pytest.mark.parametrize("action", ["plan", "handle_listing", "add_job"])
+def test_an_unexpected_error_does_not_end_the_ownership(
+    memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch, action: str
+) -> None:
+    """Guards against an input that ends the ownership of one VM after the other."""
+    workers = MemoryWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+    original = getattr(Dispatcher, action)
+    failures = 0
+
+    def fail_once(self: Dispatcher, *args: Any, **options: Any) -> Any:
+        nonlocal failures
+        failures += 1
+        if failures == 1:
+            raise IndexError("unexpected")
+        return original(self, *args, **options)
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            owner = node.owner
+            monkeypatch.setattr(Dispatcher, action, fail_once)
+            for job_id in ("a1", "a2"):
+                await node.service.submit(PARISH, TERMS, job_id, SPEC, deadline=deadline())
+            await until(lambda: "a2" in {task.job_id for _, task, _, _ in workers.started})
+            assert node.owner is owner
+            assert failures
+
+    run(work())
+
+
 def test_invalid_records_are_ignored(memory_log: MemoryLog) -> None:
     """Guards against a crash of the process on an invalid record of another writer."""
     memory_log.put(Stream.WORKERS, "w0", b"broken")
@@ -289,7 +325,7 @@
     async def work() -> None:
         node = new_node("v1", memory_log, MemoryWorkers())
         async with running(node):
-            short_deadline = time.monotonic() + 0.25
+            short_deadline = boottime() + 0.25
             assert (
                 await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=short_deadline)
                 == Accepted()
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from zinniaweir.workloads.queues import QueueTerms
-from zinniaweir.workloads.spec import JobSpec
+from zinniaweir.workloads.spec import JobSpec, SpecError, check_spec
 
 OWNER_KEY: Final = "owner"
 """Key of the newest ownership claim."""
@@ -147,6 +147,11 @@
         RecordError: If the bytes are not a valid record.
     """
     try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        record = _decoder.decode(data)
+        if isinstance(record, Submission):
+            check_spec(record.spec)
+        elif isinstance(record, Progress):
+            JobState(record.state)
+    except (msgspec.DecodeError, SpecError, ValueError) as error:
         raise RecordError(str(error)) from error
+    return record
--- a/packages/workloads/tests/test_job_table.py
+++ b/packages/workloads/tests/test_job_table.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from zinniaweir.workloads.job_table import JobTable
 from zinniaweir.workloads.queues import QueueTerms
 from zinniaweir.workloads.records import (
@@ -9,6 +15,8 @@
     JobState,
     OwnerClaim,
     Progress,
+    Record,
+    RecordError,
     Submission,
     cancellation_key,
     decode_record,
@@ -19,16 +27,25 @@
 from zinniaweir.workloads.spec import JobSpec, StepSpec
 
 
-def submission(job_id: str = "a1", *, at: float = 1.0) -> Submission:
+def submission(
+    job_id: str = "a1", *, at: float = 1.0, steps: tuple[StepSpec, ...] = (StepSpec(count=1),)
+) -> Submission:
     return Submission(
         job_id=job_id,
         customer="parish",
         terms=QueueTerms(name="traces", service="rendering"),
-        spec=JobSpec(payload="x", steps=(StepSpec(count=1),)),
+        spec=JobSpec(payload="x", steps=steps),
         accepted_at=at,
     )
 
 
+@given(st.binary(max_size=200))
+def test_arbitrary_bytes_are_a_record_or_rejected(content: bytes) -> None:
+    """Guards against bytes on the log that end the process of each VM that reads them."""
+    with contextlib.suppress(RecordError):
+        decode_record(content)
+
+
 def test_second_submission_with_same_id_is_ignored() -> None:
     """Guards against a repeated request that replaces the job that it submitted before."""
     table = JobTable()
@@ -83,5 +100,21 @@
 
 def test_records_round_trip() -> None:
     """Guards against an encoded record that another VM cannot decode."""
-    for record in (submission(), Cancellation(job_id="a", at=1.0), Progress(job_id="a", state="x")):
+    progress = [Progress(job_id="a", state=state) for state in JobState]
+    for record in (submission(), Cancellation(job_id="a", at=1.0), *progress):
         assert decode_record(encode_record(record)) == record
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        Progress(job_id="a", state="x"),
+        submission(steps=()),
+        submission(steps=(StepSpec(count=1, depends_on=(0,)),)),
+        submission(steps=(StepSpec(count=0),)),
+    ],
+)
+def test_inconsistent_records_are_rejected(record: Record) -> None:
+    """Guards against a record that decodes and then causes an error in each owner that reads it."""
+    with pytest.raises(RecordError):
+        decode_record(encode_record(record))
