node: age of views from the deployment's settings; fewer reads by smaller VMs

Change: the bounds come from the settings (configuration, keys; drains, evacuations less 0.5 s for delivery); a known job's last state is reported while the log is silent, an unknown one is still refused. Smaller VMs, which own only if no larger one runs, read the jobs each 0.4 s more slowly, and read for an open job's state when a caller asks, so the state that callers see is not older. Ruled out: a longer bound for starts than drains allow; the permission is checked again when the start leaves. Tests: known jobs in an outage; a smaller VM's answer is the newest; both fail before.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -108,6 +108,7 @@
             fleet=self._fleet,
             health=self._health,
             run_times=self._run_times,
+            max_view_age_seconds=time_limits.max_start_view_age_seconds,
             reporter=reporter,
         )
 
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -17,13 +17,8 @@
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.queues import Configuration
 
-MAX_START_VIEW_AGE_SECONDS: Final = 1.5
-"""Maximum age of the view for a start.
-
-At the strictest, no work may start later than 2 s after a drain or an evacuation.
-"""
-MAX_PLACEMENT_VIEW_AGE_SECONDS: Final = 1.1
-"""Maximum age of the view for a placement, which leaves time to record and start it."""
+PLACEMENT_SECONDS: Final = 0.4
+"""Time to record and start a placement, while the view must stay recent enough for the start."""
 EXPECTED_STOP_SECONDS: Final = 0.6
 """Expected time until a stopped or overdue task has ended."""
 
@@ -44,6 +39,7 @@
         fleet: The workers.
         health: Health of the workers.
         run_times: Expected durations.
+        max_view_age_seconds: Maximum age of the view for a start.
         reporter: Receives log events and counts.
     """
 
@@ -53,11 +49,13 @@
         fleet: Fleet,
         health: WorkerHealth,
         run_times: RunTimes,
+        max_view_age_seconds: float,
         reporter: Reporter,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
+        self._max_view_age_seconds = max_view_age_seconds
         self._reporter = reporter
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -82,7 +80,7 @@
     @property
     def starts_allowed_until(self) -> float:
         """Time until which the view is recent enough for starts, in seconds."""
-        return self._view_at + MAX_START_VIEW_AGE_SECONDS
+        return self._view_at + self._max_view_age_seconds
 
     def usable_soon(self, worker: Worker) -> bool:
         """Return whether a worker is neither missing, draining nor evacuated.
@@ -126,7 +124,7 @@
         """
         open_jobs = [job for job in jobs if not job.closed and job.job_id not in self._set_aside]
         waiting = [job for job in open_jobs if any(True for _ in job.ready_units())]
-        if not waiting or now - self._view_at > MAX_PLACEMENT_VIEW_AGE_SECONDS:
+        if not waiting or now + PLACEMENT_SECONDS > self.starts_allowed_until:
             return
         covered = covered_jobs(open_jobs, self._guaranteed)
         context = PassContext(
--- a/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
@@ -1,4 +1,4 @@
-"""Durations that limit leases and retention in the owner's decisions."""
+"""Durations that the deployment's settings allow for views, leases and retention."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TimeLimits:
-    """Limits on the leases of workers and on the retention of jobs."""
+    """Limits on the age of views, on the leases of workers and on the retention of jobs."""
 
     max_lease_seconds: float = 6.0
     """Maximum lease that a worker is given."""
@@ -24,3 +24,13 @@
     """
     job_retention_seconds: float = 180.0
     """How long an ended job is kept, so that its state can be queried."""
+    max_call_view_age_seconds: float = 2.0
+    """Maximum age of the settings with which callers are served.
+
+    Keys may have been revoked and routes changed since.
+    """
+    max_start_view_age_seconds: float = 1.5
+    """Maximum age of the settings and the list of workers for a start.
+
+    A worker may have begun to drain, or its failure domain may have been evacuated, since.
+    """
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -5,7 +5,7 @@
 import pytest
 
 from zinniaweir.dispatch.messages import RunEnd, StartAnswer
-from zinniaweir.dispatch.planning import MAX_START_VIEW_AGE_SECONDS
+from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import OwnedJob
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.spec import StepSpec
@@ -119,7 +119,7 @@
     cluster.add(job("j1"))
     cluster.run(0.1)
     (assignment,) = cluster.assignments("j1")
-    assert assignment.send_until == cluster.now + MAX_START_VIEW_AGE_SECONDS
+    assert assignment.send_until == cluster.now + TimeLimits().max_start_view_age_seconds
 
 
 def test_tasks_of_silent_worker_wait_for_end_of_its_lease() -> None:
--- a/packages/node/src/zinniaweir/node/claim_policy.py
+++ b/packages/node/src/zinniaweir/node/claim_policy.py
@@ -12,8 +12,8 @@
 """How often an owner renews its claim."""
 OWNER_TIMEOUT_SECONDS: Final = 1.2
 """An owner whose renewals are missing from a readable log for this long is replaced."""
-NORMAL_READ_INTERVAL_SECONDS: Final = 0.45
-"""Interval between reads of a fast log; the excess over it is the measure of slowness."""
+READ_SECONDS: Final = 0.05
+"""Time of a read of a fast log, without the time that it waits for a record."""
 SLOWNESS_FACTOR: Final = 4.0
 """Multiple of the log's slowness that is added to an owner's timeout.
 
@@ -81,15 +81,24 @@
         extra_delay: Seconds by which this VM waits longer than others, so that few claim at once.
         vacancy_delay: Seconds for which a VM leaves a vacant ownership to other VMs, 0 for a
             preferred VM.
+        normal_read_seconds: Interval between reads of a fast log; the excess over it is the measure
+            of the log's slowness.
     """
 
     def __init__(
-        self, *, vm: str, incarnation: str, extra_delay: float, vacancy_delay: float = 0.0
+        self,
+        *,
+        vm: str,
+        incarnation: str,
+        extra_delay: float,
+        normal_read_seconds: float,
+        vacancy_delay: float = 0.0,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
         self._extra_delay = extra_delay + vacancy_delay
         self._vacancy_delay = vacancy_delay
+        self._normal_read_seconds = normal_read_seconds
         self._last_renewal: tuple[int, int, bool] | None = None
         self._unchanged_since: float | None = None
         self._slowness = 0.0
@@ -103,7 +112,7 @@
             at: When this read was sent, in seconds.
         """
         if at - previous_at <= OUTAGE_GAP_SECONDS:
-            excess = max(at - previous_at - NORMAL_READ_INTERVAL_SECONDS, 0.0)
+            excess = max(at - previous_at - self._normal_read_seconds, 0.0)
             self._slowness += SLOWNESS_SMOOTHING * (excess - self._slowness)
         renewal = (claim.epoch, claim.beat, claim.released) if claim else None
         if (
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -9,7 +9,12 @@
 
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node.boottime import boottime
-from zinniaweir.node.claim_policy import SMALL_VM_DELAY_SECONDS, ClaimPolicy, claim_rank
+from zinniaweir.node.claim_policy import (
+    READ_SECONDS,
+    SMALL_VM_DELAY_SECONDS,
+    ClaimPolicy,
+    claim_rank,
+)
 from zinniaweir.node.owner import Owner
 from zinniaweir.node.ports import (
     Decoder,
@@ -24,9 +29,9 @@
 from zinniaweir.node.relay import Peers, RelayLog
 from zinniaweir.node.service import JobService
 from zinniaweir.node.view import (
-    OWNER_READ_WAIT_SECONDS,
-    READ_WAIT_SECONDS,
+    JOBS_READ_WAIT_SECONDS,
     REPLICA_READ_DELAY_SECONDS,
+    SMALL_VM_READ_DELAY_SECONDS,
     View,
 )
 from zinniaweir.telemetry.counters import Counters
@@ -88,13 +93,26 @@
         self._counters = counters
         self._timers = timers
         self._incarnation = secrets.token_hex(8)
-        self._view = View(log_port=self._log_port, decoder=decoder, counters=counters)
-        self._service = JobService(view=self._view, log_port=self._log_port, counters=counters)
+        read_delay = REPLICA_READ_DELAY_SECONDS if vm.strong else SMALL_VM_READ_DELAY_SECONDS
+        self._view = View(
+            log_port=self._log_port,
+            decoder=decoder,
+            replica_read_delay_seconds=read_delay,
+            max_age_seconds=time_limits.max_call_view_age_seconds,
+            counters=counters,
+        )
+        self._service = JobService(
+            view=self._view,
+            log_port=self._log_port,
+            max_view_age_seconds=time_limits.max_call_view_age_seconds,
+            counters=counters,
+        )
         self._claim_policy = ClaimPolicy(
             vm=vm.vm,
             incarnation=self._incarnation,
             extra_delay=0.0,
             vacancy_delay=0.0 if vm.strong else SMALL_VM_DELAY_SECONDS,
+            normal_read_seconds=read_delay + JOBS_READ_WAIT_SECONDS + READ_SECONDS,
         )
         self._owner: Owner | None = None
         self._ended_epoch = 0
@@ -252,8 +270,7 @@
             counters=self._counters,
             timers=self._timers,
         )
-        self._view.jobs.read_delay_seconds = 0.0
-        self._view.operators.wait_seconds = OWNER_READ_WAIT_SECONDS
+        self._view.set_owner(True)
         following = asyncio.create_task(self._view.workers.run())
         started = boottime()
         try:
@@ -263,8 +280,7 @@
             self._owner = None
             self._ended_epoch = claim.epoch
             following.cancel()
-            self._view.jobs.read_delay_seconds = REPLICA_READ_DELAY_SECONDS
-            self._view.operators.wait_seconds = READ_WAIT_SECONDS
+            self._view.set_owner(False)
             self._counters.add("ownerships", reason="ended")
             log("ownership_ended", epoch=claim.epoch, seconds=round(boottime() - started, 2))
 
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from typing import Final
 
@@ -32,8 +33,12 @@
 )
 from zinniaweir.workloads.spec import JobSpec
 
-MAX_VIEW_AGE_SECONDS: Final = 2.0
-"""Maximum age of the view with which callers are served; keys may have been revoked since."""
+RECENT_VIEW_AGE_SECONDS: Final = 0.15
+"""The state of an open job is read from the log unless the view is at most this old."""
+OUTAGE_VIEW_AGE_SECONDS: Final = 1.0
+"""With an older view the log does not answer, and an open job's last known state is reported."""
+STATE_READ_TIMEOUT_SECONDS: Final = 0.3
+"""Timeout of a read for an open job's state, after which its last known state is reported."""
 REJECTED_APPEND_TIMEOUT_SECONDS: Final = 1.2
 """How long an append that the log rejects is retried.
 
@@ -66,25 +71,29 @@
     Args:
         view: State of the platform as read from the log.
         log_port: The platform's log.
+        max_view_age_seconds: Maximum age of the settings with which callers are served.
         counters: Receives counts of refusals and retries by reason.
     """
 
-    def __init__(self, *, view: View, log_port: Log, counters: Counters) -> None:
+    def __init__(
+        self, *, view: View, log_port: Log, max_view_age_seconds: float, counters: Counters
+    ) -> None:
         self._view = view
         self._log_port = log_port
+        self._max_view_age_seconds = max_view_age_seconds
         self._counters = counters
         self._timeout = AdaptiveTimeout()
 
     @property
     def ready(self) -> bool:
         """Whether callers can be served now."""
-        return self._view.configuration is not None and self._view.age <= MAX_VIEW_AGE_SECONDS
+        return self._view.configuration is not None and self._view.age <= self._max_view_age_seconds
 
     def readiness_refusal(self) -> Refused | None:
         """Return a refusal if this VM's settings are missing or too old, else None."""
         if self._view.configuration is None:
             return self.refuse(Refusal.NO_SETTINGS)
-        if self._view.operators.age > MAX_VIEW_AGE_SECONDS:
+        if self._view.operators.age > self._max_view_age_seconds:
             return self.refuse(Refusal.VIEW_TOO_OLD)
         return None
 
@@ -154,7 +163,7 @@
 
     def pending(self, terms: QueueTerms) -> Pending | Refused:
         """Return how many jobs of a queue have not started."""
-        if self._view.age > MAX_VIEW_AGE_SECONDS:
+        if self._view.age > self._max_view_age_seconds:
             return self.refuse(Refusal.VIEW_TOO_OLD)
         return Pending(count=self._view.job_table.queued_count(terms.name))
 
@@ -178,17 +187,27 @@
         self, customer: Customer | None, job_id: str
     ) -> JobEntry | UnknownJob | Refused:
         entry = self._view.job_table.get(job_id)
-        if entry is None or self._view.jobs.age > MAX_VIEW_AGE_SECONDS:
+        if entry is None:
             # Another VM may have accepted the job since the last read.
             try:
                 await self._view.jobs.catch_up()
             except LogError:
                 return self.refuse(Refusal.VIEW_TOO_OLD)
             entry = self._view.job_table.get(job_id)
+        elif not entry.state.ended:
+            await self._refresh()
+            entry = self._view.job_table.get(job_id) or entry
         if entry is None or (customer and entry.submission.customer != customer.name):
             return UnknownJob()
         return entry
 
+    async def _refresh(self) -> None:
+        """Read the log if the view is not recent and the log answers."""
+        if RECENT_VIEW_AGE_SECONDS < self._view.jobs.age <= OUTAGE_VIEW_AGE_SECONDS:
+            with contextlib.suppress(LogError, TimeoutError):
+                async with asyncio.timeout(STATE_READ_TIMEOUT_SECONDS):
+                    await self._view.jobs.catch_up()
+
     async def _store(
         self, record: KeyedRecord, job_id: str, *, deadline: float
     ) -> Accepted | Refused | OutcomeUnknown:
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -21,12 +21,18 @@
     decode_record,
 )
 
-READ_WAIT_SECONDS: Final = 0.5
-"""How long a read waits for a record; bounds the age of the view while the log is quiet."""
 JOBS_READ_WAIT_SECONDS: Final = 0.3
 """How long a read of the jobs' stream waits; its age limits how early a silent owner is noticed."""
 REPLICA_READ_DELAY_SECONDS: Final = 0.1
-"""Delay between reads of the jobs' stream on a VM that does not own scheduling."""
+"""Delay between reads of the jobs' stream on a larger VM that does not own scheduling."""
+SMALL_VM_READ_DELAY_SECONDS: Final = 0.4
+"""The same on a smaller VM.
+
+Each read is paid for, and large fleets consist mostly of smaller VMs, which own scheduling only if
+no larger one runs. The state of an open job is read when a caller asks for it.
+"""
+OPERATORS_READ_SHARE: Final = 0.25
+"""How long a read of the settings waits, as a share of the age up to which they may be used."""
 OWNER_READ_WAIT_SECONDS: Final = 0.25
 """How long the owner's reads of settings and workers wait; its starts need a fresh view of both."""
 WORKERS_READ_DELAY_SECONDS: Final = 0.25
@@ -39,12 +45,25 @@
     Args:
         log_port: The platform's log.
         decoder: Decodes operators' and workers' records.
+        replica_read_delay_seconds: Delay between reads of the jobs' stream while this VM does not
+            own scheduling.
+        max_age_seconds: Maximum age of the settings with which callers are served.
         counters: Receives counts of invalid records and failed reads.
     """
 
-    def __init__(self, *, log_port: Log, decoder: Decoder, counters: Counters) -> None:
+    def __init__(
+        self,
+        *,
+        log_port: Log,
+        decoder: Decoder,
+        replica_read_delay_seconds: float,
+        max_age_seconds: float,
+        counters: Counters,
+    ) -> None:
         self._decoder = decoder
         self._counters = counters
+        self._replica_read_delay_seconds = replica_read_delay_seconds
+        self._operators_wait_seconds = OPERATORS_READ_SHARE * max_age_seconds
         self._job_table = JobTable()
         self._configuration: Configuration | None = None
         self._evacuated: dict[str, str] = {}
@@ -54,7 +73,11 @@
         )
         """Follower of the system's own records."""
         self.operators = self._follower(
-            log_port, Stream.OPERATORS, self._reset_operators, self._apply_operator
+            log_port,
+            Stream.OPERATORS,
+            self._reset_operators,
+            self._apply_operator,
+            self._operators_wait_seconds,
         )
         """Follower of the operators' settings."""
         self.workers = self._follower(
@@ -65,8 +88,8 @@
             OWNER_READ_WAIT_SECONDS,
         )
         """Follower of the platform's list of workers; runs only on the owner."""
-        self.jobs.read_delay_seconds = REPLICA_READ_DELAY_SECONDS
         self.workers.read_delay_seconds = WORKERS_READ_DELAY_SECONDS
+        self.set_owner(False)
         self.on_submission: Callable[[Submission], None] = lambda _: None
         """Called with each accepted job that is read."""
         self.on_cancellation: Callable[[str], None] = lambda _: None
@@ -101,6 +124,13 @@
         """Seconds since both settings and jobs were last known to be up to date."""
         return max(self.operators.age, self.jobs.age)
 
+    def set_owner(self, is_owner: bool) -> None:
+        """Read more often while this VM owns scheduling."""
+        self.jobs.read_delay_seconds = 0.0 if is_owner else self._replica_read_delay_seconds
+        self.operators.wait_seconds = (
+            OWNER_READ_WAIT_SECONDS if is_owner else self._operators_wait_seconds
+        )
+
     def worker_entries(self) -> Iterable[WorkerEntry]:
         """Return the entries of all workers on the platform's list."""
         return self._workers.values()
@@ -111,7 +141,7 @@
         stream: Stream,
         reset: Callable[[], None],
         apply: Callable[[KeyedRecord], None],
-        wait_seconds: float = READ_WAIT_SECONDS,
+        wait_seconds: float,
     ) -> Follower:
         return Follower(
             log_port=log_port,
--- a/packages/node/tests/test_claim_policy.py
+++ b/packages/node/tests/test_claim_policy.py
@@ -7,7 +7,7 @@
 
 
 def claim_policy() -> ClaimPolicy:
-    return ClaimPolicy(vm="v1", incarnation="mine", extra_delay=0.1)
+    return ClaimPolicy(vm="v1", incarnation="mine", extra_delay=0.1, normal_read_seconds=0.45)
 
 
 def claim(**changes: object) -> OwnerClaim:
@@ -78,13 +78,19 @@
 def test_small_vm_delays_its_claim_for_larger_vms() -> None:
     """Guards against an owner of many workers with half a core while larger VMs are idle."""
     weak = ClaimPolicy(
-        vm="v1", incarnation="mine", extra_delay=0.0, vacancy_delay=SMALL_VM_DELAY_SECONDS
+        vm="v1",
+        incarnation="mine",
+        extra_delay=0.0,
+        normal_read_seconds=0.45,
+        vacancy_delay=SMALL_VM_DELAY_SECONDS,
     )
     weak.observe(None, previous_at=0.0, at=0.1)
     assert not weak.should_claim(None, fresh_at=0.1)
     weak.observe(None, previous_at=0.1, at=0.5)
     assert weak.should_claim(None, fresh_at=0.5)
-    strong = ClaimPolicy(vm="v2", incarnation="its", extra_delay=0.0, vacancy_delay=0.0)
+    strong = ClaimPolicy(
+        vm="v2", incarnation="its", extra_delay=0.0, normal_read_seconds=0.45, vacancy_delay=0.0
+    )
     strong.observe(None, previous_at=0.0, at=0.1)
     assert strong.should_claim(None, fresh_at=0.1)
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -22,9 +22,16 @@
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
 from zinniaweir.node.ports import Log, Stream
+from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
-from zinniaweir.workloads.records import JobState, VmAddress
+from zinniaweir.workloads.records import (
+    Cancellation,
+    JobState,
+    VmAddress,
+    cancellation_key,
+    encode_record,
+)
 from zinniaweir.workloads.spec import JobSpec, StepSpec
 
 from .conftest import (
@@ -41,10 +48,15 @@
 
 
 def new_node(
-    vm: str, log: Log, workers: MemoryWorkers, *, peers: dict[str, Log] | None = None
+    vm: str,
+    log: Log,
+    workers: MemoryWorkers,
+    *,
+    peers: dict[str, Log] | None = None,
+    strong: bool = True,
 ) -> Node:
     return Node(
-        vm=VmAddress(vm=vm, address=f"{vm}:1", failure_domain="diliman"),
+        vm=VmAddress(vm=vm, address=f"{vm}:1", failure_domain="diliman", strong=strong),
         log_port=log,
         peers=MemoryPeers(peers or {}),
         decoder=MemoryDecoder(),
@@ -127,6 +139,50 @@
     run(work())
 
 
+def test_known_jobs_are_reported_while_the_log_is_silent(memory_log: MemoryLog) -> None:
+    """Guards against callers who are refused the state of a job that the VM knows.
+
+    The log is silent, and the settings are still recent enough to accept the caller's key. Whether
+    there is a job with an unknown id can't be said then.
+    """
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline())
+            await until(lambda: node.view.job_table.get("a1") is not None)
+            memory_log.down = True
+            await asyncio.sleep(1.2)
+            assert isinstance(await node.service.state(PARISH, "a1"), StateOf)
+            assert isinstance(await node.service.state(PARISH, "a2"), Refused)
+
+    run(work())
+
+
+def test_small_vm_reports_the_newest_state_with_few_reads() -> None:
+    """Guards against large fleets in which most calls to the log are those of idle VMs.
+
+    A smaller VM reads the jobs seldom, so it has to read them when a caller asks for a state.
+    """
+
+    async def work() -> None:
+        memory_log = MemoryLog()
+        memory_log.put(Stream.OPERATORS, "config", b"1")
+        large = new_node("v0", memory_log, MemoryWorkers())
+        small = new_node("v1", memory_log, MemoryWorkers(), strong=False)
+        async with running(large, small):
+            await until(lambda: large.owner is not None)
+            await small.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline())
+            await until(lambda: small.view.job_table.get("a1") is not None)
+            await asyncio.sleep(0.2)
+            cancellation = encode_record(Cancellation(job_id="a1", at=1.0))
+            memory_log.put(Stream.JOBS, cancellation_key("a1"), cancellation)
+            assert await small.service.state(PARISH, "a1") == StateOf(state=JobState.CANCELLED)
+            assert small.view.jobs.read_delay_seconds > REPLICA_READ_DELAY_SECONDS
+
+    run(work())
+
+
 def test_lost_append_answer_is_retried_until_accepted(memory_log: MemoryLog) -> None:
     """Guards against refusing a job that is on the log because the append's answer was lost."""
 
