dispatch: move runs that cannot end before their worker departs; leases of 6 s at most

Change: a unit with a run that is expected to end later than its worker departs is stopped at once and placed elsewhere; what ends in time stays. Leases are 6 s at most, as on the other sites; what a former owner of another version gave is still bounded by the platform's maximum. The expected end of inherited and resumed runs no longer takes their earlier work for speed. Ruled out: taking a missing entry of a draining worker for its end (it may be cut off and run on).

--- /dev/null
+++ b/packages/dispatch/src/zinniaweir/dispatch/departure.py
@@ -0,0 +1,36 @@
+"""Departing workers: which of their runs cannot end in time and are moved to other workers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final
+
+from zinniaweir.dispatch.fleet import Worker
+from zinniaweir.dispatch.units import Assignment, Unit
+
+DEPARTURE_MARGIN_SECONDS: Final = 0.5
+"""A run that is expected to end this much after its worker's departure may still end in time.
+
+A worker may stay a little longer than announced, and expected ends are estimates.
+"""
+
+
+def units_to_move(
+    workers: Iterable[Worker], *, expected_end: Callable[[Assignment], float]
+) -> Iterator[Unit]:
+    """Yield the units that have a run on a departing worker which cannot end there.
+
+    The run ends with its worker, and with it the whole gang, so whatever it works until then is
+    lost. Moved at once, it ends earlier and less work is lost.
+
+    Args:
+        workers: All workers.
+        expected_end: Returns when a run is expected to end, in seconds.
+    """
+    for worker in workers:
+        if worker.departs_at is None:
+            continue
+        latest_end = worker.departs_at + DEPARTURE_MARGIN_SECONDS
+        for assignment in list(worker.assignments.values()):
+            if not assignment.stop_reason and expected_end(assignment) > latest_end:
+                yield assignment.unit
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from zinniaweir.dispatch.departure import units_to_move
 from zinniaweir.dispatch.fleet import (
     MAX_SILENCE_SECONDS,
     REMOVE_MISSING_SECONDS,
@@ -385,6 +386,11 @@
             return
         self._changed, self._planned_at = False, now
         self._expire(now)
+        for unit in units_to_move(
+            self._fleet,
+            expected_end=lambda assignment: self._planner.expected_end(assignment, now),
+        ):
+            self._stop_unit(unit, "worker_departs", now)
         self._planner.plan(
             self._jobs.values(),
             now=now,
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -52,6 +52,8 @@
     """Assignments whose end is not known yet, by task and run."""
     orphan_runs: dict[tuple[TaskId, int], OrphanRun] = field(default_factory=dict)
     """Runs without an assignment that may use resources; while there are any, it gets no work."""
+    departs_at: float | None = None
+    """Earliest departure of a draining worker in seconds, None if it is unknown or stays."""
     missing_since: float | None = None
     """Since when it is missing from the platform's list."""
     used_cpu: int = 0
@@ -118,8 +120,14 @@
         self.used_accelerators -= step.accelerators
         self._fits.clear()
 
-    def update_entry(self, entry: WorkerEntry) -> None:
+    def update_entry(self, entry: WorkerEntry, *, now: float) -> None:
         """Apply a newer entry of the same incarnation."""
+        if entry is not self.entry or (entry.draining and self.departs_at is None):
+            self.departs_at = (
+                now + entry.remaining_seconds
+                if entry.draining and entry.remaining_seconds is not None
+                else None
+            )
         if entry is not self.entry:
             self.entry = entry
             self._fits.clear()
@@ -183,7 +191,7 @@
                 ended.append(worker)
                 self._workers[entry.worker] = Worker(entry=entry)
             elif entry.incarnation == worker.entry.incarnation:
-                worker.update_entry(entry)
+                worker.update_entry(entry, now=now)
         for name, worker in self._workers.items():
             if name not in present and worker.missing_since is None:
                 worker.missing_since = now
--- a/packages/dispatch/src/zinniaweir/dispatch/messages.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/messages.py
@@ -90,6 +90,8 @@
     cpu_millis: int
     memory_mb: int
     accelerators: int
+    remaining_seconds: float | None = None
+    """Minimum time from the report until a draining worker departs, None if it is unknown."""
 
 
 class StartAnswer(StrEnum):
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -177,6 +177,9 @@
         if assignment.started_at is None:
             return now + expected
         elapsed = now - assignment.started_at
+        if assignment.inherited or assignment.unit.run_checkpoint:
+            # The run began before `started_at`, or with part of its work done.
+            return now + expected * (100 - assignment.percent) / 100
         if assignment.percent > 0:
             return now + elapsed / assignment.percent * (100 - assignment.percent)
         return now + max(expected - elapsed, EXPECTED_STOP_SECONDS)
--- a/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
@@ -10,7 +10,9 @@
     """Limits on the age of views, on the leases of workers and on the retention of jobs."""
 
     max_lease_seconds: float = 6.0
-    """Maximum lease that a worker is given."""
+    """Maximum lease of a worker, which owners of other versions may have given."""
+    lease_seconds: float = 6.0
+    """Lease that a worker is given; tasks of a worker that is lost wait until it has expired."""
     start_lease_seconds: float = 3.0
     """Lease of a start.
 
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -353,7 +353,7 @@
             return None
         if now - self._recorder.confirmed_at > self._time_limits.renewal_grace_seconds:
             return None
-        until = int(worker.clock.latest(now) + self._time_limits.max_lease_seconds * 1e3)
+        until = int(worker.clock.latest(now) + self._time_limits.lease_seconds * 1e3)
         worker.lease_until_ms = max(worker.lease_until_ms, until)
         return until
 
