--- a/packages/dispatch/tests/test_departure.py
+++ b/packages/dispatch/tests/test_departure.py
@@ -59,14 +59,17 @@
         cluster.add(job(f"sweep{n}", SWEEP))
         cluster.add(job(f"trace{n}", TRACE))
     cluster.run(2.0)
-    for n in range(5):
-        announce_departure(cluster, f"w{n}", seconds=NOTICE_SECONDS)
+    departures = [(n * REPLACEMENT_INTERVAL_SECONDS + NOTICE_SECONDS, f"w{n}") for n in range(5)]
+    started_at = cluster.now
+    for n in range(5 + int(NOTICE_SECONDS)):
+        if n < 5:
+            announce_departure(cluster, f"w{n}", seconds=NOTICE_SECONDS)
+            cluster.workers[f"new{n}"] = FakeWorker(worker_entry(f"new{n}"))
         cluster.run(REPLACEMENT_INTERVAL_SECONDS)
-        cluster.workers[f"new{n}"] = FakeWorker(worker_entry(f"new{n}"))
-    cluster.run(NOTICE_SECONDS - REPLACEMENT_INTERVAL_SECONDS)
-    for n in range(5):
-        assert not cluster.workers[f"w{n}"].runs
-        del cluster.workers[f"w{n}"]
+        for departs_at, name in departures:
+            if cluster.now - started_at >= departs_at and name in cluster.workers:
+                assert not cluster.workers[name].runs
+                del cluster.workers[name]
     cluster.run(30.0)
     assert {cluster.state(f"{kind}{n}") for kind in ("sweep", "trace") for n in range(4)} == {
         "complete"
