node: retry delay that grows with an outage of the log

Change: the delay is the time that the outage has lasted, in whole seconds from 1 to 3. Test: callers of outages of 1 to 9 s outlast them; with 1 and 2 s they do not.

--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -19,6 +19,7 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.ports import KeyedRecord, Log, LogError, NoAnswerError, NothingDoneError
+from zinniaweir.node.retry_after import retry_after_seconds
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
@@ -54,15 +55,6 @@
 
 A failed read has no effect, so the job can be refused with a known outcome.
 """
-LONG_OUTAGE_SECONDS: Final = 2.0
-"""After an outage of this length callers get a longer retry delay.
-
-They retry only a few times.
-"""
-SHORT_RETRY_AFTER_SECONDS: Final = 1
-"""Retry delay that is given to callers, normally."""
-LONG_RETRY_AFTER_SECONDS: Final = 2
-"""Retry delay that is given to callers in a long outage."""
 
 
 class JobService:
@@ -170,13 +162,7 @@
     def refuse(self, reason: Refusal) -> Refused:
         """Return a refusal with the delay after which the caller may retry."""
         self._counters.add("refusals", reason=reason)
-        long_outage = self._view.age > LONG_OUTAGE_SECONDS
-        return Refused(
-            reason=reason,
-            retry_after_seconds=LONG_RETRY_AFTER_SECONDS
-            if long_outage
-            else SHORT_RETRY_AFTER_SECONDS,
-        )
+        return Refused(reason=reason, retry_after_seconds=retry_after_seconds(self._view.age))
 
     @property
     def _settings_version(self) -> int:
