node: no longer lease for a worker that did not answer

Cause: a worker that is lost got its lease renewed by the polls of its first 1.5 s of silence, which it never received, so its tasks waited up to 1.5 s longer than its last lease before they could run elsewhere. Change: a poll after one without an answer asks only; the next answered one renews again. Ruled out: taking a gang's 'broken' members for the end of the silent one, which may run on. Test: fails before (tried).

--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -304,9 +304,12 @@
         A poll is answered as soon as a run ends.
         """
         dispatcher = self._dispatcher
+        answered = True
         while dispatcher.fleet.get(worker.name) is worker:
             poll_sent_at = boottime()
-            lease = self._lease(worker, poll_sent_at)
+            # A worker that may be lost gets no longer lease, since its tasks wait for the lease's
+            # end before they run elsewhere.
+            lease = self._lease(worker, poll_sent_at) if answered else None
             wait = BUSY_POLL_WAIT_SECONDS if worker.assignments else IDLE_POLL_WAIT_SECONDS
             try:
                 listing = await self._workers.poll(
@@ -320,6 +323,7 @@
                 self._on_fenced(worker)
                 return
             except WorkerCallError as error:
+                answered = False
                 self._counters.add("look_failures", reason=type(error).__name__)
                 delay = (
                     RENEWAL_INTERVAL_SECONDS
@@ -328,6 +332,7 @@
                 )
                 await asyncio.sleep(delay)
                 continue
+            answered = True
             try:
                 dispatcher.handle_listing(
                     worker, listing, poll_sent_at=poll_sent_at, now=boottime()
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -21,6 +21,7 @@
     Stream,
     SupersededError,
     Tail,
+    WorkerCallError,
 )
 from zinniaweir.workloads.queues import Configuration, Customer, QueueTerms, Route
 
@@ -147,6 +148,10 @@
 
     def __init__(self) -> None:
         self.started: list[tuple[str, TaskId, int, int]] = []
+        self.silent = False
+        """Whether polls are not answered."""
+        self.leases: list[int | None] = []
+        """Leases of the polls that were sent, None for polls without one."""
 
     async def start(
         self,
@@ -175,7 +180,10 @@
         lease_until_ms: int | None,
         wait_seconds: float,
     ) -> Listing:
+        self.leases.append(lease_until_ms)
         await asyncio.sleep(0.02)
+        if self.silent:
+            raise WorkerCallError("silent")
         clock = int(asyncio.get_running_loop().time() * 1e3)
         return Listing(incarnation=1, clock_ms=clock, running=(), ended=())
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -305,6 +305,23 @@
     run(work())
 
 
+def test_a_worker_that_may_be_lost_gets_no_longer_lease(memory_log: MemoryLog) -> None:
+    """Guards against tasks of a lost worker that wait for a lease that was renewed in vain."""
+    workers = MemoryWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await until(lambda: any(workers.leases))
+            workers.silent = True
+            await until(lambda: workers.leases[-1] is None, seconds=0.5)
+            workers.silent = False
+            await until(lambda: workers.leases[-1] is not None)
+
+    run(work())
+
+
 def test_invalid_records_are_ignored(memory_log: MemoryLog) -> None:
     """Guards against a crash of the process on an invalid record of another writer."""
     memory_log.put(Stream.WORKERS, "w0", b"broken")
