--- /dev/null
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -0,0 +1,120 @@
+"""Workers' answers to polls: runs that started, made progress, ended or are gone."""
+
+from __future__ import annotations
+
+from zinniaweir.dispatch.fleet import OrphanRun, Worker
+from zinniaweir.dispatch.health import STALL_TIMEOUT_SECONDS, WorkerHealth
+from zinniaweir.dispatch.messages import (
+    Acknowledgement,
+    ActiveRun,
+    EndedRun,
+    Listing,
+    RunEnd,
+)
+from zinniaweir.dispatch.reporting import Reporter
+from zinniaweir.dispatch.runs import Runs
+from zinniaweir.dispatch.units import Assignment
+
+
+class Listings:
+    """Apply workers' answers to polls.
+
+    Args:
+        runs: The runs.
+        health: Health of the workers.
+        reporter: Receives log events and counts.
+    """
+
+    def __init__(self, *, runs: Runs, health: WorkerHealth, reporter: Reporter) -> None:
+        self._runs = runs
+        self._health = health
+        self._log = reporter.log
+        self._count = reporter.count
+        self.acknowledgements: dict[str, Acknowledgement] = {}
+        """Ends of runs that a worker may discard once they are recorded, by worker."""
+
+    def apply(self, worker: Worker, listing: Listing, *, poll_sent_at: float, now: float) -> None:
+        """Apply a worker's answer to a poll.
+
+        Args:
+            worker: The worker that was polled.
+            listing: Its answer.
+            poll_sent_at: When the poll was sent; the answer reflects what was settled before.
+            now: Current time in seconds.
+        """
+        if listing.incarnation != worker.entry.incarnation:
+            if listing.incarnation > worker.entry.incarnation:
+                self._log("worker_born_again", worker=worker.name, life=listing.incarnation)
+            return
+        worker.answered_at = now
+        worker.clock.observe(listing.clock_ms, sent_at=poll_sent_at, received_at=now)
+        if worker.listed_at is None:
+            self._runs.changed = True
+            self._log("worker_listed", worker=worker.name, running=len(listing.running))
+        worker.listed_at = poll_sent_at
+        if listing.unrecognized_runs:
+            self._count("strange_runs", "listed")
+        for row in listing.ended:
+            self._handle_ended_run(worker, row, now)
+        present = set()
+        for row in listing.running:
+            present.add((row.task, row.run))
+            self._handle_active_run(worker, row, now)
+        for key, orphan_run in list(worker.orphan_runs.items()):
+            settled = orphan_run.settled_at is not None and orphan_run.settled_at < poll_sent_at
+            if key not in present and settled:
+                del worker.orphan_runs[key]
+                self._runs.changed = True
+        for key, assignment in list(worker.assignments.items()):
+            if key not in present and self._absence_proves_end(
+                worker, assignment, poll_sent_at, now
+            ):
+                self._runs.end(assignment, RunEnd.LOST, "", now, cause="not_listed")
+
+    def _handle_active_run(self, worker: Worker, row: ActiveRun, now: float) -> None:
+        assignment = worker.assignments.get((row.task, row.run))
+        if assignment is None:
+            worker.orphan_runs.setdefault((row.task, row.run), OrphanRun())
+            return
+        unit = assignment.unit
+        if row.checkpoint and row.checkpoint != unit.checkpoint:
+            unit.checkpoint = row.checkpoint
+        if not assignment.started:
+            self._runs.mark_started(assignment, now)
+        if row.percent != assignment.percent or not assignment.progress_at:
+            assignment.percent, assignment.progress_at = row.percent, now
+        elif (
+            row.percent
+            and now - assignment.progress_at > STALL_TIMEOUT_SECONDS
+            # One stalled member stalls its whole gang, so no worker can be singled out.
+            and len(assignment.unit.indexes) == 1
+        ):
+            self._health.record_stall(worker.name, now=now)
+
+    def _handle_ended_run(self, worker: Worker, row: EndedRun, now: float) -> None:
+        if row.number <= worker.applied_end:
+            return
+        worker.applied_end = row.number
+        self.acknowledgements[worker.name] = Acknowledgement(
+            worker=worker.name, incarnation=worker.entry.incarnation, number=row.number
+        )
+        if row.task is None:
+            self._log("stranger_ended", worker=worker.name, number=row.number)
+            return
+        assignment = worker.assignments.get((row.task, row.run))
+        if assignment is None:
+            self._log("end_without_seat", task=row.task, run=row.run, end=row.end)
+            return
+        self._runs.end(assignment, row.end, row.checkpoint, now, cause="listed")
+
+    def _absence_proves_end(
+        self, worker: Worker, assignment: Assignment, poll_sent_at: float, now: float
+    ) -> bool:
+        """Return whether a run missing from a listing has provably ended or can never start."""
+        if assignment.inherited:
+            return True
+        if assignment.settled_at is not None:
+            return assignment.settled_at < poll_sent_at
+        if assignment.first_sent_at is None or assignment.start_in_flight:
+            return False
+        return worker.clock.earliest(poll_sent_at) > assignment.start_deadline_ms
--- /dev/null
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -0,0 +1,201 @@
+"""The life of runs: placed, started, stopped and ended, with the effects on units and jobs."""
+
+from __future__ import annotations
+
+from zinniaweir.dispatch.fleet import Fleet, Worker
+from zinniaweir.dispatch.health import WorkerHealth
+from zinniaweir.dispatch.messages import RunEnd
+from zinniaweir.dispatch.ordering import objective_seconds
+from zinniaweir.dispatch.reporting import Reporter
+from zinniaweir.dispatch.run_times import RunTimes
+from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
+
+
+class Runs:
+    """Apply what happens to runs to their workers, units and jobs.
+
+    Args:
+        fleet: The workers.
+        health: Health of the workers.
+        run_times: Expected durations.
+        reporter: Receives log events, counts and durations.
+    """
+
+    def __init__(
+        self, *, fleet: Fleet, health: WorkerHealth, run_times: RunTimes, reporter: Reporter
+    ) -> None:
+        self._fleet = fleet
+        self._health = health
+        self._run_times = run_times
+        self._reporter = reporter
+        self._log = reporter.log
+        self._count = reporter.count
+        # Dictionaries instead of sets, so that commands have the same order in every process.
+        self.starting: dict[Assignment, None] = {}
+        """Assignments whose start has not been acknowledged."""
+        self.stopping: dict[Assignment, None] = {}
+        """Assignments that are being stopped."""
+        self.changed_jobs: dict[str, OwnedJob] = {}
+        """Jobs whose progress has to be recorded, by id."""
+        self.placed: list[Assignment] = []
+        """Assignments that have to be recorded before their starts are sent."""
+        self.changed = True
+        """Whether anything happened since the last planning pass."""
+
+    def mark_started(self, assignment: Assignment, now: float) -> None:
+        """Mark a run as started, by the worker's answer or listing."""
+        if assignment.started:
+            return
+        self.starting.pop(assignment, None)
+        assignment.started, assignment.started_at = True, now
+        assignment.progress_at = now
+        self._reporter.measure("start", now - assignment.placed_at, assignment.unit.job.terms.name)
+        self._log(
+            "task_started",
+            task=assignment.task,
+            run=assignment.run,
+            worker=assignment.worker,
+            waited=round(now - assignment.placed_at, 3),
+            inherited=assignment.inherited,
+        )
+
+    def end(
+        self, assignment: Assignment, end: RunEnd, checkpoint: str, now: float, *, cause: str
+    ) -> None:
+        """End an assignment and update its unit and job.
+
+        Args:
+            assignment: The assignment.
+            end: How its run ended.
+            checkpoint: Newest checkpoint of the run, empty if there is none.
+            now: Current time in seconds.
+            cause: How the end is known, for the log.
+        """
+        worker = self._fleet.get(assignment.worker)
+        if worker is not None:
+            worker.unassign(assignment)
+        self.starting.pop(assignment, None)
+        self.stopping.pop(assignment, None)
+        self.changed = True
+        unit, job = assignment.unit, assignment.unit.job
+        if unit.assignments.get(assignment.index) is not assignment:
+            return
+        del unit.assignments[assignment.index]
+        self._count("ends", end)
+        self._log(
+            "task_ended",
+            task=assignment.task,
+            run=assignment.run,
+            worker=assignment.worker,
+            end=end,
+            cause=cause,
+            seconds=round(now - assignment.started_at, 3) if assignment.started_at else None,
+        )
+        if checkpoint:
+            unit.checkpoint = checkpoint
+        unit.waiting_since = now
+        self.changed_jobs[job.job_id] = job
+        if end is RunEnd.DONE:
+            self._complete_unit(assignment, now)
+        elif not unit.done:
+            self._handle_interruption(assignment, end, now)
+
+    def _complete_unit(self, assignment: Assignment, now: float) -> None:
+        unit, job = assignment.unit, assignment.unit.job
+        self._health.record_success(assignment.worker)
+        if assignment.started_at is not None and not assignment.inherited and not unit.checkpoint:
+            self._run_times.add(job.terms.name, now - assignment.started_at)
+        job.finish_unit(unit)
+        if not any(job.open_units) and job.ended_at is None:
+            job.ended_at = now
+            seconds = now - job.accepted_at
+            self._reporter.measure("job", seconds, job.terms.name)
+            self._log(
+                "job_complete",
+                job_id=job.job_id,
+                seconds=round(seconds, 3),
+                objective=round(objective_seconds(job, self._run_times), 3),
+            )
+
+    def _handle_interruption(self, assignment: Assignment, end: RunEnd, now: float) -> None:
+        unit, job = assignment.unit, assignment.unit.job
+        if end is RunEnd.FAILED and unit.failed_run != unit.run:
+            unit.failed_run = unit.run
+            unit.failures += 1
+            unit.failed_workers.add(assignment.worker)
+            if self._health.record_failure(assignment.worker, job.job_id, now=now):
+                self._log("worker_paused", worker=assignment.worker, reason="fails_what_it_starts")
+            if unit.failures >= job.terms.max_attempts and not job.closed:
+                job.failed = True
+                self._log("job_failed", job_id=job.job_id, attempts=unit.failures)
+                self.close_job(job, "job_failed", now)
+                return
+        if unit.assignments:
+            self.stop_unit(unit, f"member_{end}", now)
+
+    def close_job(self, job: OwnedJob, reason: str, now: float) -> None:
+        """Stop all runs of a job that failed or was cancelled."""
+        job.ended_at = now
+        self.changed_jobs[job.job_id] = job
+        self._log("job_closed", job_id=job.job_id, reason=reason)
+        for unit in job.units:
+            self.stop_unit(unit, reason, now)
+
+    def stop_unit(self, unit: Unit, reason: str, now: float) -> None:
+        """Stop a unit's runs; it is placed again unless its job is closed."""
+        assignments = [
+            assignment for assignment in unit.assignments.values() if not assignment.stop_reason
+        ]
+        if not assignments:
+            return
+        self._log(
+            "unit_stopping",
+            job_id=unit.job.job_id,
+            step=unit.step_number,
+            run=unit.run,
+            indexes=[assignment.index for assignment in assignments],
+            reason=reason,
+        )
+        for assignment in assignments:
+            assignment.stop_reason = reason
+            self.stopping[assignment] = None
+            self._count("stops", reason)
+            if assignment.first_sent_at is None and not assignment.inherited:
+                self.end(assignment, RunEnd.LOST, "", now, cause="never_sent")
+
+    def place(self, unit: Unit, workers: list[Worker], now: float) -> None:
+        """Begin a new run of a unit.
+
+        Args:
+            unit: The unit.
+            workers: The worker of each of its tasks.
+            now: Current time in seconds.
+        """
+        unit.run += 1
+        unit.run_checkpoint = unit.checkpoint
+        for index, worker in zip(unit.indexes, workers, strict=True):
+            assignment = Assignment(
+                unit=unit,
+                index=index,
+                run=unit.run,
+                worker=worker.name,
+                incarnation=worker.entry.incarnation,
+                placed_at=now,
+            )
+            unit.assignments[index] = assignment
+            worker.assign(assignment)
+            self.starting[assignment] = None
+            self.placed.append(assignment)
+        self.changed_jobs[unit.job.job_id] = unit.job
+        self._reporter.measure("placement_wait", now - unit.waiting_since, unit.job.terms.name)
+        unit.wait_logged = False
+        self._log(
+            "unit_placed",
+            job_id=unit.job.job_id,
+            step=unit.step_number,
+            first=unit.indexes[0],
+            run=unit.run,
+            workers=sorted({w.name for w in workers}),
+            estimate=unit.step.estimate_ms / 1e3,
+            waited=round(now - unit.waiting_since, 3),
+        )
