dispatch: stopped work that writes checkpoints counts as saved

Cause: the choice of work to preempt took a mean of 1 s of lost work for checkpointing tasks, but these write a checkpoint when they are stopped. Change: only the restart counts for them. Test: older saved work is preempted before younger unsaved work; fails before (tried).

--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -17,8 +17,6 @@
 
 It makes large gangs expensive to preempt.
 """
-MEAN_UNSAVED_SECONDS: Final = 1.0
-"""Mean work that a checkpointing task loses: half of the time between checkpoints."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -38,16 +36,18 @@
 
 
 def lost_core_seconds_of(unit: Unit, *, now: float) -> float:
-    """Return the core-seconds that are lost when a unit is stopped."""
+    """Return the core-seconds that are lost when a unit is stopped.
+
+    A checkpointing task writes a checkpoint when it is stopped, so its work is not lost.
+    """
     assignments = [
         assignment for assignment in unit.assignments.values() if not assignment.stop_reason
     ]
     each = unit_cores(unit) / len(unit.indexes)
     total = 0.0
     for assignment in assignments:
-        worked = 0.0 if assignment.started_at is None else now - assignment.started_at
-        if unit.step.checkpointing:
-            worked = min(worked, MEAN_UNSAVED_SECONDS)
+        unsaved = assignment.started_at is not None and not unit.step.checkpointing
+        worked = now - assignment.started_at if unsaved else 0.0
         total += each * (worked + RESTART_COST_SECONDS)
     return total
 
--- a/packages/dispatch/tests/test_planning.py
+++ b/packages/dispatch/tests/test_planning.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from zinniaweir.dispatch import fleet, planning_pass
 from zinniaweir.dispatch.messages import StartAnswer
 from zinniaweir.workloads.queues import Customer
@@ -74,6 +76,22 @@
     assert [f["job_id"] for e, f in cluster.events if e == "job_set_aside"] == ["faulty"]
 
 
+def test_preemption_prefers_work_that_is_saved() -> None:
+    """Guards against a burst of urgent work that throws away work which nothing has saved.
+
+    A stopped task that writes checkpoints continues from its stop, however long it has run.
+    """
+    cluster = Cluster(*racks(1, 2))
+    cluster.seconds = 20.0
+    cluster.add(job("saved", replace(LARGE, checkpointing=True)))
+    cluster.run(6.0)
+    cluster.add(job("unsaved", LARGE))
+    cluster.run(0.6)
+    cluster.add(job("urgent", gang(1), **URGENT_QUEUE))
+    cluster.run(1.0)
+    assert [f["job_id"] for e, f in cluster.events if e == "unit_preempted"] == ["saved"]
+
+
 def test_urgent_work_beyond_guarantee_does_not_preempt_costly_work() -> None:
     """Guards against a preemption that loses far more work than the urgent work amounts to."""
     cluster = Cluster(*racks(1, 2))
