node: a log that is silent towards a VM does not delay its callers

Cause: while a store does not answer some VMs, each of their calls that was due to try it directly waited for the time-out of 0.25 to 0.5 s before it went through another VM, so the views of these VMs aged and their callers waited. Change: the direct call that is due runs beside the one through another VM, and the first result counts; VMs that need help ask the others in an order of their own. An append that may have taken effect through another VM is never reported as undone.

--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 from typing import Final
+from zlib import crc32
 
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node.boottime import boottime
@@ -191,7 +192,13 @@
         others = [
             vm for vm in self._view.job_table.vms.values() if vm.address != self._vm_address.address
         ]
-        others.sort(key=lambda vm: vm.failure_domain != self._vm_address.failure_domain)
+        # Each VM has its own order, so that those that need help don't all ask the same VM.
+        others.sort(
+            key=lambda vm: (
+                vm.failure_domain != self._vm_address.failure_domain,
+                crc32(f"{self._vm_name}/{vm.vm}".encode()),
+            )
+        )
         return [vm.address for vm in others]
 
     async def _announce(self) -> None:
--- a/packages/node/src/zinniaweir/node/relay.py
+++ b/packages/node/src/zinniaweir/node/relay.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Final, Protocol, TypeVar
+from typing import Any, Final, Protocol, TypeVar
 
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.ports import (
@@ -64,6 +65,7 @@
         self._retry_direct_at = 0.0
         self._direct_failing = False
         self._retry_peer_at: dict[str, float] = {}
+        self._retries: set[asyncio.Task[Any]] = set()
 
     @property
     def for_peers(self) -> Log:
@@ -103,21 +105,47 @@
         )
 
     async def _call(self, call: Callable[[Log], Awaitable[T]]) -> T:
-        now = boottime()
-        failure: NothingDoneError | NoAnswerError = NothingDoneError(
-            "the log failed before and is not due for a retry"
-        )
-        if not self._direct_failing or now >= self._retry_direct_at:
-            self._retry_direct_at = now + DIRECT_RETRY_INTERVAL_SECONDS
+        if not self._direct_failing:
             try:
-                result = await call(self._direct)
+                return await self._call_direct(call)
             except (NothingDoneError, NoAnswerError) as error:
-                self._on_direct_failure(error)
-                failure = error
-            else:
-                self._on_direct_success()
-                return result
-        return await self._call_peers(call, failure)
+                return await self._call_peers(call, error)
+        if boottime() >= self._retry_direct_at:
+            return await self._call_both(call)
+        return await self._call_peers(call, NothingDoneError("the log failed before"))
+
+    async def _call_direct(self, call: Callable[[Log], Awaitable[T]]) -> T:
+        self._retry_direct_at = boottime() + DIRECT_RETRY_INTERVAL_SECONDS
+        try:
+            result = await call(self._direct)
+        except (NothingDoneError, NoAnswerError) as error:
+            self._on_direct_failure(error)
+            raise
+        self._on_direct_success()
+        return result
+
+    async def _call_both(self, call: Callable[[Log], Awaitable[T]]) -> T:
+        """Try the log directly while other VMs are called, and return the first result.
+
+        A log that is silent towards this VM would otherwise delay each of these calls.
+        """
+        direct = asyncio.create_task(self._call_direct(call))
+        self._retries.add(direct)
+        direct.add_done_callback(self._on_retry_done)
+        try:
+            return await self._call_peers(call, NothingDoneError("the log failed before"))
+        except (NothingDoneError, NoAnswerError) as error:
+            try:
+                return await direct
+            except NothingDoneError:
+                # The call through another VM may have taken effect.
+                raise error from None
+
+    def _on_retry_done(self, retry: asyncio.Task[Any]) -> None:
+        self._retries.discard(retry)
+        if not retry.cancelled():
+            # Marks the error as seen; whoever waits for the retry gets it too.
+            retry.exception()
 
     async def _call_peers(
         self,
