--- a/packages/node/src/zinniaweir/node/adaptive_timeout.py
+++ b/packages/node/src/zinniaweir/node/adaptive_timeout.py
@@ -41,11 +41,6 @@
         )
         return max(base, min(AVERAGE_FACTOR * self._average_seconds, MAX_TIMEOUT_SECONDS))
 
-    @property
-    def average_seconds(self) -> float:
-        """Moving average of the time that answers take, in seconds."""
-        return self._average_seconds
-
     @property
     def last_answered(self) -> bool:
         """Whether the last call was answered."""
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -16,7 +16,6 @@
     ClaimPolicy,
     claim_rank,
 )
-from zinniaweir.node.collector import CollectingLog
 from zinniaweir.node.owner import Owner
 from zinniaweir.node.ports import (
     Decoder,
@@ -90,7 +89,6 @@
             direct=log_port, peers=peers, addresses=self._peer_addresses, counters=counters
         )
         self._log_port: Log = self._relay
-        self._peers = peers
         self._workers = workers
         self._time_limits = time_limits
         self._counters = counters
@@ -107,7 +105,6 @@
         self._service = JobService(
             view=self._view,
             log_port=self._log_port,
-            collecting_log=self._collecting_log,
             max_view_age_seconds=time_limits.max_call_view_age_seconds,
             counters=counters,
         )
@@ -189,21 +186,7 @@
         Raises:
             NothingDoneError: If the log does not serve this VM.
         """
-        log_port = self._relay.for_peers
-        owner = self._owner
-        return log_port if owner is None else CollectingLog(log=log_port, collector=owner)
-
-    def _collecting_log(self) -> Log | None:
-        """Return the log through the owner while it collects appends of a slow log."""
-        claim = self._view.job_table.claim
-        if claim is None or not claim.collects or claim.released:
-            return None
-        if self._owner is not None:
-            return CollectingLog(log=self._log_port, collector=self._owner)
-        owner_vm = self._view.job_table.vms.get(claim.vm)
-        if owner_vm is None or claim.vm == self._vm_name:
-            return None
-        return self._peers.log_at(owner_vm.address)
+        return self._relay.for_peers
 
     def _peer_addresses(self) -> list[str]:
         others = [
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -14,7 +14,6 @@
 from zinniaweir.dispatch.units import Assignment
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.claim_policy import RENEWAL_INTERVAL_SECONDS
-from zinniaweir.node.collector import Collector
 from zinniaweir.node.ports import (
     KeyedRecord,
     Log,
@@ -115,7 +114,6 @@
             time_limits=time_limits,
             reporter=OwnerReporter(epoch=claim.epoch, counters=counters, timers=timers),
         )
-        self._collector = Collector()
         self._wake = asyncio.Event()
         self._record_wake = asyncio.Event()
         self._end_requested = asyncio.Event()
@@ -151,15 +149,6 @@
         self._dispatcher.cancel_job(job_id, now=boottime())
         self.wake()
 
-    async def append(self, records: list[KeyedRecord]) -> int:
-        """Append callers' records together with the owner's own.
-
-        Raises:
-            LogError: If the ownership ended.
-        """
-        self._record_wake.set()
-        return await self._collector.append(records)
-
     def step_down(self) -> None:
         """End the ownership because another claim has a higher epoch."""
         self._end_requested.set()
@@ -176,7 +165,6 @@
         finally:
             for task in list(self._tasks):
                 task.cancel()
-            self._collector.close()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             log("owner_ended", epoch=self.epoch, released=self._releasing)
 
@@ -380,16 +368,11 @@
             changes = self._dispatcher.collect_changes(now=boottime())
             records = self._records_of(changes)
             releasing = self._releasing
-            if (
-                not (changes.is_empty and self._collector.is_empty)
-                or boottime() >= renewal_at
-                or releasing
-            ):
+            if not changes.is_empty or boottime() >= renewal_at or releasing:
                 renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
-                records += self._collector.take()
                 records.append(self._next_renewal())
                 try:
-                    self._collector.finish(await self._recorder.write(records))
+                    await self._recorder.write(records)
                 except SupersededError as error:
                     self._counters.add("fenced", reason="log")
                     log("owner_fenced", by="log", epoch=self.epoch, error=str(error))
@@ -435,6 +418,5 @@
             epoch=previous.epoch,
             beat=previous.beat + 1,
             released=self._releasing,
-            collects=self._recorder.is_slow,
         )
         return KeyedRecord(key=OWNER_KEY, value=encode_record(self._claim))
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -25,10 +25,6 @@
 """An append that is retried for longer than this is logged."""
 
 
-SLOW_LOG_SECONDS: Final = 0.06
-"""A log that takes longer for an append counts as slow; a fast one takes about a tenth of it."""
-
-
 class Recorder:
     """Append records with the owner's epoch and a sequence number.
 
@@ -60,35 +56,24 @@
         """Seconds since the append in flight was first attempted, 0 if there is none."""
         return 0.0 if self._pending_since is None else boottime() - self._pending_since
 
-    @property
-    def is_slow(self) -> bool:
-        """Whether the log takes long for appends."""
-        return self._timeout.average_seconds > SLOW_LOG_SECONDS
-
-    async def write(self, records: list[KeyedRecord]) -> int:
+    async def write(self, records: list[KeyedRecord]) -> None:
         """Append records, and retry without limit until the log answers.
 
-        Returns:
-            Offset of the first record of the last append.
-
         Raises:
             SupersededError: If another owner has a higher epoch.
         """
-        offset = 0
         for batch in _batches(records):
             self._sequence += 1
-            fence = Fence(epoch=self._epoch, sequence=self._sequence)
-            offset = await self._append_batch(batch, fence)
-        return offset
+            await self._append_batch(batch, Fence(epoch=self._epoch, sequence=self._sequence))
 
-    async def _append_batch(self, records: list[KeyedRecord], fence: Fence) -> int:
+    async def _append_batch(self, records: list[KeyedRecord], fence: Fence) -> None:
         self._pending_since = started = boottime()
         slow = False
         try:
             while True:
                 sent_at = boottime()
                 try:
-                    offset = await self._log_port.append(
+                    await self._log_port.append(
                         records, fence=fence, timeout_seconds=self._timeout.seconds
                     )
                 except (NothingDoneError, NoAnswerError) as error:
@@ -103,7 +88,7 @@
                     continue
                 self._confirmed_at = sent_at
                 self._timeout.record_answer(boottime() - sent_at)
-                return offset
+                return
         finally:
             self._pending_since = None
 
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Callable
 from typing import Final
 
 from zinniaweir.node.adaptive_timeout import AdaptiveTimeout
@@ -64,23 +63,15 @@
     Args:
         view: State of the platform as read from the log.
         log_port: The platform's log.
-        collecting_log: Returns the log through the owner while it collects appends, else None.
         max_view_age_seconds: Maximum age of the settings with which callers are served.
         counters: Receives counts of refusals and retries by reason.
     """
 
     def __init__(
-        self,
-        *,
-        view: View,
-        log_port: Log,
-        collecting_log: Callable[[], Log | None],
-        max_view_age_seconds: float,
-        counters: Counters,
+        self, *, view: View, log_port: Log, max_view_age_seconds: float, counters: Counters
     ) -> None:
         self._view = view
         self._log_port = log_port
-        self._collecting_log = collecting_log
         self._max_view_age_seconds = max_view_age_seconds
         self._counters = counters
         self._timeout = AdaptiveTimeout()
@@ -219,12 +210,11 @@
         until = deadline - min(ANSWER_MARGIN_SECONDS, margin)
         refuse_at = min(until, boottime() + REJECTED_APPEND_TIMEOUT_SECONDS)
         outcome_unknown = False
-        target = self._collecting_log() or self._log_port
         while True:
             try:
                 sent_at = boottime()
                 async with asyncio.timeout(max(until - sent_at, 0.0)):
-                    await target.append([record], timeout_seconds=self._timeout.seconds)
+                    await self._log_port.append([record], timeout_seconds=self._timeout.seconds)
                 self._timeout.record_answer(boottime() - sent_at)
                 return Accepted()
             except (NoAnswerError, TimeoutError):
@@ -233,7 +223,6 @@
                 self._counters.add("append_retries", reason="no_answer")
             except NothingDoneError:
                 self._counters.add("append_retries", reason="nothing_done")
-            target = self._log_port
             if (
                 record.key == submission_key(job_id)
                 and self._view.job_table.get(job_id) is not None
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -96,8 +96,6 @@
     beat: int = 0
     """Sequence number of the renewal."""
     released: bool = False
-    collects: bool = False
-    """Whether the log is slow, so that VMs pass callers' records to the owner."""
 
 
 class VmAddress(msgspec.Struct, frozen=True, kw_only=True, tag="vm"):
