node: a VM without the log is not ready after 2 s on every deployment

Change: readiness keeps its 2 s, callers who are there are served by the deployment's bound. Test: fails before the change (by the reading; not run there).

--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -34,6 +34,8 @@
 )
 from zinniaweir.workloads.spec import JobSpec
 
+READY_VIEW_AGE_SECONDS: Final = 2.0
+"""A VM with an older view is not ready: it cannot accept jobs, and other VMs may be able to."""
 RECENT_VIEW_AGE_SECONDS: Final = 0.15
 """The state of an open job is read from the log unless the view is at most this old."""
 OUTAGE_VIEW_AGE_SECONDS: Final = 1.0
@@ -78,8 +80,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether callers can be served now."""
-        return self._view.configuration is not None and self._view.age <= self._max_view_age_seconds
+        """Whether new callers should come to this VM."""
+        max_age = min(READY_VIEW_AGE_SECONDS, self._max_view_age_seconds)
+        return self._view.configuration is not None and self._view.age <= max_age
 
     def readiness_refusal(self) -> Refused | None:
         """Return a refusal if this VM's settings are missing or too old, else None."""
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -54,6 +54,7 @@
     *,
     peers: dict[str, Log] | None = None,
     strong: bool = True,
+    time_limits: TimeLimits | None = None,
 ) -> Node:
     return Node(
         vm=VmAddress(vm=vm, address=f"{vm}:1", failure_domain="diliman", strong=strong),
@@ -61,7 +62,7 @@
         peers=MemoryPeers(peers or {}),
         decoder=MemoryDecoder(),
         workers=workers,
-        time_limits=TimeLimits(),
+        time_limits=time_limits or TimeLimits(),
         counters=Counters(),
         timers=Timers(),
     )
@@ -159,6 +160,25 @@
     run(work())
 
 
+def test_vm_without_the_log_sends_callers_elsewhere_before_it_refuses_them(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against new callers at a VM that cannot accept jobs while others can.
+
+    The deployment allows older settings than that, so callers who are here are still served.
+    """
+
+    async def work() -> None:
+        limits = TimeLimits(max_call_view_age_seconds=10.0)
+        node = new_node("v1", memory_log, MemoryWorkers(), time_limits=limits)
+        async with running(node):
+            memory_log.down = True
+            await until(lambda: not node.service.ready)
+            assert node.service.readiness_refusal() is None
+
+    run(work())
+
+
 def test_small_vm_reports_the_newest_state_with_few_reads() -> None:
     """Guards against large fleets in which most calls to the log are those of idle VMs.
 
