dispatch: work that was done is not run again after a pause or a silence

Change: runs are lost only after a poll that was sent once all leases had expired brought no answer; an end 'done' of a unit's newest run completes the unit, also if the run had been taken for lost, and one done member stands for its gang. Ruled out: repeating the run and dropping the late end, as before.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -91,7 +91,9 @@
             run_times=self._run_times,
             reporter=reporter,
         )
-        self._listings = Listings(runs=self._runs, health=self._health, reporter=reporter)
+        self._listings = Listings(
+            jobs=self._jobs, runs=self._runs, health=self._health, reporter=reporter
+        )
         self._expiry = Expiry(
             fleet=self._fleet,
             inherited=self._inherited,
@@ -195,6 +197,15 @@
         """
         self._listings.apply(worker, listing, poll_sent_at=poll_sent_at, now=now)
 
+    def handle_unanswered_poll(self, worker: Worker, *, poll_sent_at: float) -> None:
+        """Record that a worker did not answer a poll.
+
+        Args:
+            worker: The worker that was polled.
+            poll_sent_at: When the poll was sent, in seconds.
+        """
+        worker.unanswered_poll_sent_at = max(worker.unanswered_poll_sent_at, poll_sent_at)
+
     def prepare_start(self, assignment: Assignment, *, now: float) -> bool:
         """Check a start that is about to be sent, again or for the first time, and mark it as sent.
 
--- a/packages/dispatch/src/zinniaweir/dispatch/expiry.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/expiry.py
@@ -63,7 +63,9 @@
 
     def _expire_worker(self, worker: Worker, now: float) -> None:
         silent = now - worker.answered_at > MAX_SILENCE_SECONDS
-        if silent and worker.assignments and self._leases_expired(worker, now):
+        # An owner that was paused asks first: the worker may have ends to report.
+        asked_at = worker.unanswered_poll_sent_at
+        if silent and worker.assignments and self._leases_expired(worker, asked_at):
             for assignment in list(worker.assignments.values()):
                 self._runs.end(assignment, RunEnd.LOST, "", now, cause="lease_over")
         missing = (
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -42,6 +42,8 @@
     """When the last answered poll of this epoch was sent."""
     answered_at: float = float("-inf")
     """When the last answer to a poll arrived."""
+    unanswered_poll_sent_at: float = float("-inf")
+    """When the newest poll without an answer was sent, in seconds."""
     lease_until_ms: int = 0
     """The latest lease end that was sent, on the worker's clock."""
     acknowledged_end: int = 0
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from zinniaweir.dispatch.fleet import OrphanRun, Worker
 from zinniaweir.dispatch.health import STALL_TIMEOUT_SECONDS, WorkerHealth
 from zinniaweir.dispatch.messages import (
@@ -10,22 +12,32 @@
     EndedRun,
     Listing,
     RunEnd,
+    TaskId,
 )
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runs import Runs
-from zinniaweir.dispatch.units import Assignment
+from zinniaweir.dispatch.units import Assignment, OwnedJob
 
 
 class Listings:
     """Apply workers' answers to polls.
 
     Args:
+        jobs: All retained jobs, by id.
         runs: The runs.
         health: Health of the workers.
         reporter: Receives log events and counts.
     """
 
-    def __init__(self, *, runs: Runs, health: WorkerHealth, reporter: Reporter) -> None:
+    def __init__(
+        self,
+        *,
+        jobs: Mapping[str, OwnedJob],
+        runs: Runs,
+        health: WorkerHealth,
+        reporter: Reporter,
+    ) -> None:
+        self._jobs = jobs
         self._runs = runs
         self._health = health
         self._log = reporter.log
@@ -104,9 +116,24 @@
         assignment = worker.assignments.get((row.task, row.run))
         if assignment is None:
             self._log("end_without_seat", task=row.task, run=row.run, end=row.end)
+            if row.end is RunEnd.DONE:
+                self._complete_lost_run(row.task, row.run, now)
             return
         self._runs.end(assignment, row.end, row.checkpoint, now, cause="listed")
 
+    def _complete_lost_run(self, task: TaskId, run: int, now: float) -> None:
+        """Complete a unit whose newest run was taken for lost but was done.
+
+        Its worker was silent until its leases had expired, and reports the end only now. One done
+        member stands for its whole gang.
+        """
+        job = self._jobs.get(task.job_id)
+        if job is None or job.closed:
+            return
+        for unit in job.units:
+            if unit.step_number == task.step and task.index in unit.indexes and unit.run == run:
+                self._runs.complete_lost_run(unit, now)
+
     def _absence_proves_end(
         self, worker: Worker, assignment: Assignment, poll_sent_at: float, now: float
     ) -> bool:
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -105,6 +105,17 @@
         self._health.record_success(assignment.worker)
         if assignment.started_at is not None and not assignment.inherited and not unit.checkpoint:
             self._run_times.add(job.terms.name, now - assignment.started_at)
+        self._finish_unit(unit, now)
+
+    def complete_lost_run(self, unit: Unit, now: float) -> None:
+        """Complete a unit whose newest run was taken for lost, or was interrupted, but was done."""
+        if not unit.done:
+            self.changed = True
+            self.changed_jobs[unit.job.job_id] = unit.job
+            self._finish_unit(unit, now)
+
+    def _finish_unit(self, unit: Unit, now: float) -> None:
+        job = unit.job
         job.finish_unit(unit)
         if not any(job.open_units) and job.ended_at is None:
             job.ended_at = now
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -140,6 +140,7 @@
         for worker in list(self.dispatcher.fleet):
             fake = self.workers.get(worker.name)
             if fake is None or fake.silent:
+                self.dispatcher.handle_unanswered_poll(worker, poll_sent_at=self.now)
                 continue
             until = int(self.now * 1e3) + 6000
             worker.lease_until_ms = max(worker.lease_until_ms, until)
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -138,6 +138,41 @@
     ]
 
 
+def test_paused_owner_polls_before_it_takes_runs_for_lost(cluster: Cluster) -> None:
+    """Guards against a second run of work that was done while the owner was paused.
+
+    All leases had expired when it woke up, and it had not asked for ends since.
+    """
+    cluster.add(job("j1"))
+    cluster.run(0.5)
+    (assignment,) = cluster.assignments("j1")
+    cluster.workers[assignment.worker].end((assignment.task, assignment.run), RunEnd.DONE)
+    cluster.now += 10.0
+    cluster.dispatcher.update_view_time(cluster.now)
+    cluster.dispatcher.plan(now=cluster.now)
+    assert list(cluster.assignments("j1")) == [assignment]
+    cluster.run(0.5)
+    assert cluster.state("j1") == "complete"
+    assert assignment.unit.run == 1
+
+
+def test_run_that_was_done_on_a_worker_taken_for_lost_is_not_repeated() -> None:
+    """Guards against a second run if a worker that was silent reports that the first was done."""
+    cluster = Cluster(worker_entry("w1"))
+    cluster.add(job("j1"))
+    cluster.run(0.5)
+    (assignment,) = cluster.assignments("j1")
+    fake = cluster.workers["w1"]
+    fake.silent = True
+    fake.end((assignment.task, assignment.run), RunEnd.DONE)
+    cluster.run(9.0)
+    assert not list(cluster.assignments("j1"))
+    fake.silent = False
+    cluster.run(0.5)
+    assert cluster.state("j1") == "complete"
+    assert assignment.unit.run == 1
+
+
 def test_tasks_of_restarted_worker_are_started_again_at_once(cluster: Cluster) -> None:
     """Guards against tasks that wait for the lease of a worker incarnation that has ended."""
     cluster.seconds = 30.0
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -324,6 +324,7 @@
                 return
             except WorkerCallError as error:
                 answered = False
+                dispatcher.handle_unanswered_poll(worker, poll_sent_at=poll_sent_at)
                 self._counters.add("look_failures", reason=type(error).__name__)
                 delay = (
                     RENEWAL_INTERVAL_SECONDS
