dispatch: report runs that begin after their worker said that it drains

Change: workers' entries carry the worker's own clock and the number of the report; task_started tells copies and view_age; start_after_notice and the counter starts_after_notice report a run that may have begun after the notice, by how much at most on the worker's clock, and whether a repeated copy did it. Result: test_start_that_meets_a_drain_on_its_way_is_reported; tests of dispatch, node, telemetry, platform and docs pass.

--- a/packages/dispatch/src/zinniaweir/dispatch/departure.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/departure.py
@@ -15,6 +15,24 @@
 """
 
 
+def seconds_after_notice(assignment: Assignment, worker: Worker) -> float | None:
+    """Return the longest time after its worker's notice after which a run can have begun.
+
+    Args:
+        assignment: A run of this owner.
+        worker: Its worker.
+
+    Returns:
+        None if it began before the worker said that it drains, or if that is not known.
+    """
+    if worker.drain_reported_ms is None or assignment.started_at is None or assignment.inherited:
+        return None
+    began_ms = worker.clock.latest(assignment.started_at)
+    if began_ms <= worker.drain_reported_ms:
+        return None
+    return (began_ms - worker.drain_reported_ms) / 1e3
+
+
 def units_to_move(
     workers: Iterable[Worker], *, expected_end: Callable[[Assignment], float]
 ) -> Iterator[Unit]:
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -178,9 +178,14 @@
 
     def update_workers(self, entries: Iterable[WorkerEntry], *, now: float) -> None:
         """Apply the platform's list of workers."""
+        draining = {worker.name for worker in self._fleet if worker.entry.draining}
         for ended_worker in self._fleet.update(entries, now=now):
             self._expect_late_starts(ended_worker)
             self._expiry.end_worker(ended_worker, "worker_born_again", now)
+        for worker in self._fleet:
+            if worker.entry.draining and worker.name not in draining:
+                for assignment in worker.assignments.values():
+                    self._runs.report_start_after_notice(assignment, worker)
         for worker in self._fleet:
             self._attach_inherited(worker, now)
 
@@ -231,6 +236,8 @@
         elif worker.clock.earliest(now) >= assignment.start_deadline_ms:
             return False
         assignment.sent_at, assignment.start_in_flight = now, True
+        assignment.copies += 1
+        assignment.view_read_at = self._planner.view_read_at
         assignment.send_until = self._planner.starts_allowed_until
         return True
 
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -56,6 +56,8 @@
     """Runs without an assignment that may use resources; while there are any, it gets no work."""
     departs_at: float | None = None
     """Earliest departure of a draining worker in seconds, None if it is unknown or stays."""
+    drain_reported_ms: int | None = None
+    """Its own clock when it first reported that it drains; None if it stays or does not tell."""
     missing_since: float | None = None
     """Since when it is missing from the platform's list."""
     used_cpu: int = 0
@@ -130,6 +132,8 @@
                 if entry.draining and entry.remaining_seconds is not None
                 else None
             )
+        if entry.draining and not self.entry.draining:
+            self.drain_reported_ms = entry.reported_ms
         if entry is not self.entry:
             self.entry = entry
             self._fits.clear()
--- a/packages/dispatch/src/zinniaweir/dispatch/messages.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/messages.py
@@ -92,6 +92,10 @@
     accelerators: int
     remaining_seconds: float | None = None
     """Minimum time from the report until a draining worker departs, None if it is unknown."""
+    report_number: int = 0
+    """Sequence number of the report within the incarnation; 0 if reports are not numbered."""
+    reported_ms: int | None = None
+    """The worker's clock when it made the report, in milliseconds; None if it does not tell."""
 
 
 class StartAnswer(StrEnum):
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -77,6 +77,11 @@
         """Record when the settings and the list of workers were read, in seconds."""
         self._view_at = max(self._view_at, read_at)
 
+    @property
+    def view_read_at(self) -> float:
+        """When the settings and the list of workers were read, in seconds."""
+        return self._view_at
+
     @property
     def starts_allowed_until(self) -> float:
         """Time until which the view is recent enough for starts, in seconds."""
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from zinniaweir.dispatch.departure import seconds_after_notice
 from zinniaweir.dispatch.fleet import Fleet, Worker
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.messages import RunEnd
@@ -57,6 +58,31 @@
             worker=assignment.worker,
             waited=round(now - assignment.placed_at, 3),
             inherited=assignment.inherited,
+            copies=assignment.copies,
+            view_age=_view_age(assignment),
+        )
+        worker = self._fleet.get(assignment.worker)
+        if worker is not None:
+            self.report_start_after_notice(assignment, worker)
+
+    def report_start_after_notice(self, assignment: Assignment, worker: Worker) -> None:
+        """Report a run that may have begun after its worker said that it drains.
+
+        The worker's own clock tells how much later; a platform may limit that time.
+        """
+        seconds = seconds_after_notice(assignment, worker)
+        if seconds is None:
+            return
+        reason = "first_copy" if assignment.copies == 1 else "repeated"
+        self._count("starts_after_notice", reason)
+        self._log(
+            "start_after_notice",
+            task=assignment.task,
+            run=assignment.run,
+            worker=worker.name,
+            copies=assignment.copies,
+            view_age=_view_age(assignment),
+            at_most=round(seconds, 3),
         )
 
     def end(
@@ -210,3 +236,10 @@
             estimate=unit.step.estimate_ms / 1e3,
             waited=round(now - unit.waiting_since, 3),
         )
+
+
+def _view_age(assignment: Assignment) -> float | None:
+    """Return the age of the view when the newest copy of a start was sent, in seconds."""
+    if assignment.sent_at is None:
+        return None
+    return round(assignment.sent_at - assignment.view_read_at, 3)
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -40,6 +40,10 @@
     """When this owner first sent the start, None if it never did."""
     sent_at: float | None = None
     """When the newest copy of the start was sent."""
+    copies: int = 0
+    """How many copies of the start were sent."""
+    view_read_at: float = float("-inf")
+    """When the view that allowed the newest copy of the start was read, in seconds."""
     start_in_flight: bool = False
     start_unanswered: bool = False
     """A copy of the start had no answer, so it may have taken effect."""
--- a/packages/dispatch/tests/test_departure.py
+++ b/packages/dispatch/tests/test_departure.py
@@ -76,3 +76,18 @@
     }
     ends = {(fields["end"], fields["cause"]) for e, fields in cluster.events if e == "task_ended"}
     assert ends <= {("done", "listed"), ("stopped", "listed"), ("lost", "never_sent")}
+
+
+def test_start_that_meets_a_drain_on_its_way_is_reported() -> None:
+    """Guards against a start after its worker's notice that leaves no trace in logs and counts."""
+    cluster = Cluster(worker_entry("w1"))
+    cluster.add(job("trace"))
+    cluster.run(1.0)
+    fake = cluster.workers["w1"]
+    notice_ms = int((cluster.now - 5.0) * 1e3)
+    fake.entry = replace(fake.entry, draining=True, reported_ms=notice_ms)
+    cluster.tick()
+    found = [fields for event, fields in cluster.events if event == "start_after_notice"]
+    assert [fields["copies"] for fields in found] == [1]
+    assert 0 < found[0]["at_most"] < 5.0
+    assert ("starts_after_notice", "first_copy") in cluster.counts
