dispatch: a start's permission ends at the worker too

What callers saw: work given to a worker that had said that it leaves, and lost with it (DRAIN). Cause: the view that allows a start was checked when the start left; what bounded its effect was the lease of the start, 3 s after the first copy whatever the age of the view. With a view of up to 1.5 s (small sites) or 2.5 s (grown) a start could take effect 4.5 to 5.5 s after its worker's notice, on and on. The class: acting on a permission that ran out, because its end is not carried to where the action takes effect. A repeated copy gets the deadline of the newer view. That deadline is too short to serve as a lease, so a worker gets work only once it has confirmed a lease in the last 3 s; the first poll of a worker, and those after one without an answer, do not wait, so that this costs a round trip.

--- a/bench/dispatch/replay.py
+++ b/bench/dispatch/replay.py
@@ -231,7 +231,9 @@
             listing = Listing(
                 incarnation=1, clock_ms=int(now * 1e3), running=rows, ended=tuple(simulated.ended)
             )
-            self.dispatcher.handle_listing(worker, listing, poll_sent_at=now - 0.001, now=now)
+            self.dispatcher.handle_listing(
+                worker, listing, poll_sent_at=now - 0.001, renewed=True, now=now
+            )
 
     def _percent(self, run: _Run) -> int:
         share = (self._now - run.started_at) / run.whole_seconds if run.whole_seconds else 0.0
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -107,6 +107,7 @@
             health=self._health,
             run_times=self._run_times,
             max_view_age_seconds=time_limits.max_start_view_age_seconds,
+            permission_seconds=time_limits.start_permission_seconds,
             reporter=reporter,
         )
 
@@ -190,7 +191,13 @@
             self._attach_inherited(worker, now)
 
     def handle_listing(
-        self, worker: Worker, listing: Listing, *, poll_sent_at: float, now: float
+        self,
+        worker: Worker,
+        listing: Listing,
+        *,
+        poll_sent_at: float,
+        renewed: bool,
+        now: float,
     ) -> None:
         """Apply a worker's answer to a poll.
 
@@ -198,9 +205,10 @@
             worker: The worker that was polled.
             listing: Its answer.
             poll_sent_at: When the poll was sent; the answer reflects what was settled before.
+            renewed: Whether the poll renewed the worker's lease.
             now: Current time in seconds.
         """
-        self._listings.apply(worker, listing, poll_sent_at=poll_sent_at, now=now)
+        self._listings.apply(worker, listing, poll_sent_at=poll_sent_at, renewed=renewed, now=now)
 
     def handle_unanswered_poll(self, worker: Worker, *, poll_sent_at: float) -> None:
         """Record that a worker did not answer a poll.
@@ -229,12 +237,18 @@
                 self._runs.end(assignment, RunEnd.LOST, "", now, cause=f"worker_{exclusion_reason}")
             return False
         if assignment.first_sent_at is None:
-            assignment.first_sent_at = now
             lease_ms = int(self._time_limits.start_lease_seconds * 1e3)
-            assignment.start_deadline_ms = int(worker.clock.latest(now)) + lease_ms
-            worker.lease_until_ms = max(worker.lease_until_ms, assignment.start_deadline_ms)
-        elif worker.clock.earliest(now) >= assignment.start_deadline_ms:
+            assignment.last_deadline_ms = int(worker.clock.latest(now)) + lease_ms
+        # The permission ends with its view also where the start is carried out, however long the
+        # start was on its way.
+        permission_ends_ms = int(worker.clock.earliest(self._planner.permission_ends_at))
+        deadline_ms = min(assignment.last_deadline_ms, permission_ends_ms)
+        assignment.start_deadline_ms = max(assignment.start_deadline_ms, deadline_ms)
+        if worker.clock.earliest(now) >= assignment.start_deadline_ms:
             return False
+        worker.lease_until_ms = max(worker.lease_until_ms, assignment.start_deadline_ms)
+        if assignment.first_sent_at is None:
+            assignment.first_sent_at = now
         assignment.sent_at, assignment.start_in_flight = now, True
         assignment.copies += 1
         assignment.view_read_at = self._planner.view_read_at
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -16,6 +16,12 @@
 
 Must be longer than the longest wait of a poll, which a worker without a new end uses up.
 """
+MAX_CONFIRMED_LEASE_AGE_SECONDS: Final = 3.0
+"""A worker whose lease was last confirmed longer ago gets no work.
+
+The deadline of a start does not last until the next renewal, so what is started lives on the lease
+that the worker already has. Longer than two polls in a row that wait for an end.
+"""
 REMOVE_MISSING_SECONDS: Final = 2.5
 """Time after which a silent worker that is missing from the platform's list is removed.
 
@@ -46,6 +52,8 @@
     """When the newest poll without an answer was sent, in seconds."""
     lease_until_ms: int = 0
     """The latest lease end that was sent, on the worker's clock."""
+    lease_confirmed_at: float = float("-inf")
+    """When the newest answered poll that renewed the lease was sent, in seconds."""
     acknowledged_end: int = 0
     """Number of the newest end of a run that is recorded in the log."""
     applied_end: int = 0
@@ -140,6 +148,10 @@
             self._fits_empty.clear()
         self.missing_since = None
 
+    def leased(self, now: float) -> bool:
+        """Return whether it surely has a lease on which what is started now can live."""
+        return now - self.lease_confirmed_at <= MAX_CONFIRMED_LEASE_AGE_SECONDS
+
     def leases_expired(self, now: float) -> bool:
         """Return whether every lease that was sent has provably expired."""
         return self.clock.known and self.clock.earliest(now) > self.lease_until_ms
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -45,13 +45,22 @@
         self.acknowledgements: dict[str, Acknowledgement] = {}
         """Ends of runs that a worker may discard once they are recorded, by worker."""
 
-    def apply(self, worker: Worker, listing: Listing, *, poll_sent_at: float, now: float) -> None:
+    def apply(
+        self,
+        worker: Worker,
+        listing: Listing,
+        *,
+        poll_sent_at: float,
+        renewed: bool,
+        now: float,
+    ) -> None:
         """Apply a worker's answer to a poll.
 
         Args:
             worker: The worker that was polled.
             listing: Its answer.
             poll_sent_at: When the poll was sent; the answer reflects what was settled before.
+            renewed: Whether the poll renewed the worker's lease.
             now: Current time in seconds.
         """
         if listing.incarnation != worker.entry.incarnation:
@@ -59,6 +68,8 @@
                 self._log("worker_born_again", worker=worker.name, life=listing.incarnation)
             return
         worker.answered_at = now
+        if renewed:
+            worker.lease_confirmed_at = max(worker.lease_confirmed_at, poll_sent_at)
         worker.clock.observe(listing.clock_ms, sent_at=poll_sent_at, received_at=now)
         if worker.listed_at is None:
             self._runs.changed = True
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -39,7 +39,8 @@
         fleet: The workers.
         health: Health of the workers.
         run_times: Expected durations.
-        max_view_age_seconds: Maximum age of the view for a start.
+        max_view_age_seconds: Maximum age of the view when a start is sent.
+        permission_seconds: Maximum age of the view when a worker begins a start.
         reporter: Receives log events and counts.
     """
 
@@ -50,12 +51,14 @@
         health: WorkerHealth,
         run_times: RunTimes,
         max_view_age_seconds: float,
+        permission_seconds: float,
         reporter: Reporter,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
         self._max_view_age_seconds = max_view_age_seconds
+        self._permission_seconds = permission_seconds
         self._reporter = reporter
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -84,9 +87,14 @@
 
     @property
     def starts_allowed_until(self) -> float:
-        """Time until which the view is recent enough for starts, in seconds."""
+        """Time until which the view is recent enough to send starts, in seconds."""
         return self._view_at + self._max_view_age_seconds
 
+    @property
+    def permission_ends_at(self) -> float:
+        """Time until which workers may begin the starts that the view allows, in seconds."""
+        return self._view_at + self._permission_seconds
+
     def usable_soon(self, worker: Worker) -> bool:
         """Return whether a worker is neither missing, draining nor evacuated.
 
@@ -112,6 +120,8 @@
             return "evacuated"
         if now - worker.answered_at > MAX_SILENCE_SECONDS:
             return "silent"
+        if not worker.leased(now):
+            return "not_leased"
         if worker.orphan_runs:
             return "stray_runs"
         return "" if self._health.usable(worker.name, now=now) else "paused"
--- a/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
@@ -14,10 +14,7 @@
     lease_seconds: float = 6.0
     """Lease that a worker is given; tasks of a worker that is lost wait until it has expired."""
     start_lease_seconds: float = 3.0
-    """Lease of a start.
-
-    A worker rejects a start that arrives later, and the first poll must renew the lease in time.
-    """
+    """Time from the first copy of a start after which no copy of it takes effect."""
     renewal_grace_seconds: float = 5.0
     """How long an owner that cannot write to the log continues to renew leases.
 
@@ -32,7 +29,12 @@
     Keys may have been revoked and routes changed since.
     """
     max_start_view_age_seconds: float = 1.5
-    """Maximum age of the settings and the list of workers for a start.
+    """Maximum age of the settings and the list of workers when a start leaves this VM.
 
     A worker may have begun to drain, or its failure domain may have been evacuated, since.
     """
+    start_permission_seconds: float = 2.0
+    """Maximum age of the settings and the list of workers when a worker begins a start.
+
+    The worker enforces it, so a start that is held up on its way takes no effect.
+    """
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -50,7 +50,9 @@
     send_until: float = float("-inf")
     """Latest time at which the start may leave this VM, in seconds."""
     start_deadline_ms: int = 0
-    """Time on the worker's clock after which it rejects the start, in milliseconds."""
+    """Time on the worker's clock after which it rejects every copy of the start that was sent."""
+    last_deadline_ms: int = 0
+    """Latest deadline that any copy may have, on the worker's clock, in milliseconds."""
     settled_at: float | None = None
     """When an answer proved that no copy of the start can take effect any more."""
     started: bool = False
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -109,6 +109,8 @@
         """All progress that was recorded, in order."""
         self.seconds = 2.0
         """Duration of the runs of jobs without an entry in `durations`."""
+        self.renews_leases = True
+        """Whether polls renew the leases of workers."""
         self.stalled_workers: set[str] = set()
         """Workers whose runs stall after a tenth of the work."""
         self.dispatcher = self.new_dispatcher()
@@ -156,7 +158,11 @@
                 ended=tuple(fake.ended),
             )
             self.dispatcher.handle_listing(
-                worker, listing, poll_sent_at=self.now - 0.001, now=self.now
+                worker,
+                listing,
+                poll_sent_at=self.now - 0.001,
+                renewed=self.renews_leases,
+                now=self.now,
             )
 
     def percent(self, fake: FakeWorker, run: FakeRun) -> int:
--- a/packages/dispatch/tests/test_handover.py
+++ b/packages/dispatch/tests/test_handover.py
@@ -195,7 +195,9 @@
         listing = Listing(
             incarnation=1, clock_ms=int(self.now * 1e3), running=running, ended=tuple(kept)
         )
-        owner.dispatcher.handle_listing(known, listing, poll_sent_at=self.now - 0.001, now=self.now)
+        owner.dispatcher.handle_listing(
+            known, listing, poll_sent_at=self.now - 0.001, renewed=True, now=self.now
+        )
         return True
 
     def send(self, owner: Owner) -> None:
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -311,13 +311,17 @@
             # end before they run elsewhere.
             lease = self._lease(worker, poll_sent_at) if answered else None
             wait = BUSY_POLL_WAIT_SECONDS if worker.assignments else IDLE_POLL_WAIT_SECONDS
+            # It gets no work before it has confirmed a lease, so that is not delayed.
+            unconfirmed = lease is not None and not worker.leased(poll_sent_at)
+            if worker.listed_at is None or unconfirmed or not answered:
+                wait = 0.0
             try:
                 listing = await self._workers.poll(
                     worker.entry,
                     epoch=self.epoch,
                     acknowledged=worker.acknowledged_end,
                     lease_until_ms=lease,
-                    wait_seconds=wait if worker.listed_at is not None else 0.0,
+                    wait_seconds=wait,
                 )
             except StaleEpochError:
                 self._on_fenced(worker)
@@ -336,7 +340,11 @@
             answered = True
             try:
                 dispatcher.handle_listing(
-                    worker, listing, poll_sent_at=poll_sent_at, now=boottime()
+                    worker,
+                    listing,
+                    poll_sent_at=poll_sent_at,
+                    renewed=lease is not None,
+                    now=boottime(),
                 )
             except Exception as error:
                 self._report_fault(error, action="poll", worker=worker.name)
