node, dispatch: a worker's report that is stored late does not replace a newer one

Cause: entries of the workers' stream were applied in the order of their offsets. A write without an answer may take effect seconds later, so a worker's report from before its drain, stored after it, made the worker usable again until its next report. The number of the report was not read. Change: entries carry the number of the report; one with a lower incarnation or number than the one in use is counted (outdated_reports), logged (worker_entry_outdated) and ignored; a list that is read anew does not undo a newer report either.

--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -209,7 +209,9 @@
                 ended.append(worker)
                 self._workers[entry.worker] = Worker(entry=entry)
             elif entry.incarnation == worker.entry.incarnation:
-                worker.update_entry(entry, now=now)
+                # A list that was read anew may hold an older report; a newer drain still holds.
+                newest = worker.entry if entry.is_older_than(worker.entry) else entry
+                worker.update_entry(newest, now=now)
         for name, worker in self._workers.items():
             if name not in present and worker.missing_since is None:
                 worker.missing_since = now
--- a/packages/dispatch/src/zinniaweir/dispatch/messages.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/messages.py
@@ -97,6 +97,14 @@
     reported_ms: int | None = None
     """The worker's clock when it made the report, in milliseconds; None if it does not tell."""
 
+    def is_older_than(self, other: WorkerEntry) -> bool:
+        """Return whether the same worker made another report later, in this incarnation or a newer.
+
+        Args:
+            other: An entry of the same worker.
+        """
+        return (self.incarnation, self.report_number) < (other.incarnation, other.report_number)
+
 
 class StartAnswer(StrEnum):
     """How a worker answered a start."""
--- a/packages/dispatch/tests/test_permissions.py
+++ b/packages/dispatch/tests/test_permissions.py
@@ -72,3 +72,30 @@
     assert cluster.dispatcher.prepare_start(assignment, now=cluster.now + 0.5)
     arrives_at = drained_at + LIMITS.start_permission_seconds
     assert arrives_at * 1e3 >= assignment.start_deadline_ms
+
+
+def test_report_from_before_the_drain_does_not_reopen_a_worker(cluster: Cluster) -> None:
+    """Guards against a worker that gets work again because an older report was stored late."""
+    cluster.run(0.5)
+    late = worker_entry("w1", report_number=4)
+    cluster.dispatcher.update_workers(
+        [worker_entry("w1", report_number=5, draining=True)], now=cluster.now
+    )
+    cluster.dispatcher.update_workers([late], now=cluster.now + 0.1)
+    worker = cluster.dispatcher.fleet.get("w1")
+    assert worker is not None
+    assert worker.entry.draining
+    assert worker.missing_since is None
+
+
+def test_new_incarnation_counts_its_reports_anew(cluster: Cluster) -> None:
+    """Guards against a restarted worker whose reports are all taken for outdated."""
+    cluster.run(0.5)
+    for entry in (
+        worker_entry("w1", report_number=50, draining=True),
+        worker_entry("w1", report_number=1, incarnation=2),
+    ):
+        cluster.dispatcher.update_workers([entry], now=cluster.now)
+    worker = cluster.dispatcher.fleet.get("w1")
+    assert worker is not None
+    assert not worker.entry.draining
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -220,6 +220,18 @@
                 self._ignore_record(Stream.WORKERS, record, "invalid worker entry")
                 return
             before = self._workers.get(record.key)
+            if before is not None and entry.is_older_than(before):
+                # Writes without an answer may take effect late; what the worker said since holds.
+                self._counters.add("outdated_reports", reason=Stream.WORKERS)
+                log(
+                    "worker_entry_outdated",
+                    worker=entry.worker,
+                    report=entry.report_number,
+                    newest=before.report_number,
+                    draining=entry.draining,
+                    life=entry.incarnation,
+                )
+                return
             self._workers[record.key] = entry
             if (
                 before is None
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -128,6 +128,7 @@
     def worker(self, record: KeyedRecord) -> WorkerEntry | None:
         if record.value == b"broken":
             return None
+        state, _, number = (record.value or b"").partition(b" ")
         return WorkerEntry(
             worker=record.key,
             service="rendering",
@@ -136,7 +137,8 @@
             rack="r1-1",
             labels=frozenset(),
             incarnation=1,
-            draining=False,
+            draining=state == b"draining",
+            report_number=int(number or 0),
             cpu_millis=8_000,
             memory_mb=8_000,
             accelerators=8,
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -53,6 +53,7 @@
     "unit_waits": "a task or gang found no room",
     "worker_born_again": "another life of a worker answers",
     "worker_entry_changed": "a worker came, drains or was born again",
+    "worker_entry_outdated": "a worker's report was stored after a newer one and does not count",
     "worker_entry_removed": "the platform's list dropped a worker",
     "worker_listed": "a worker told its runs to this owner for the first time",
     "worker_lost": "a worker is taken for gone",
