dispatch: a start's permission also ends with the view of cancellations

A start rests on the settings, the list of workers and the records of jobs; only the age of the first two was checked, so with a partition of the log that answers late a start could rest on old records of jobs. Change: TimeLimits has cancellation_seconds (cancel_ms of the settings); a permission ends with the first of both views, when starts leave and as the deadline that workers check. Evidence: with the mechanism taken out, test_start_is_too_late_once_its_job_may_have_been_cancelled (two of three ages) and test_nothing_is_placed_while_jobs_cannot_be_read fail. 267 tests pass.

--- a/bench/dispatch/replay.py
+++ b/bench/dispatch/replay.py
@@ -197,7 +197,7 @@
         dispatcher.update_workers(
             [simulated.entry for simulated in self._workers.values()], now=now
         )
-        dispatcher.update_view_time(now)
+        dispatcher.update_view_time(now, jobs_read_at=now)
         for simulated in self._workers.values():
             for run in list(simulated.runs.values()):
                 if now >= run.ends_at:
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -106,8 +106,7 @@
             fleet=self._fleet,
             health=self._health,
             run_times=self._run_times,
-            max_view_age_seconds=time_limits.max_start_view_age_seconds,
-            permission_seconds=time_limits.start_permission_seconds,
+            time_limits=time_limits,
             reporter=reporter,
         )
 
@@ -135,9 +134,14 @@
         """
         self._planner.configure(configuration, evacuated)
 
-    def update_view_time(self, read_at: float) -> None:
-        """Record when the settings and the list of workers were read, in seconds."""
-        self._planner.update_view_time(read_at)
+    def update_view_time(self, read_at: float, *, jobs_read_at: float) -> None:
+        """Record when the view was read.
+
+        Args:
+            read_at: When the settings and the list of workers were read, in seconds.
+            jobs_read_at: When the records of jobs were read, in seconds.
+        """
+        self._planner.update_view_time(read_at, jobs_read_at=jobs_read_at)
 
     def add_job(self, entry: JobEntry, *, now: float, age: float) -> None:
         """Add a job from the log; a known job is left unchanged.
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -14,6 +14,7 @@
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.run_times import RunTimes
+from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.queues import Configuration
 
@@ -39,8 +40,7 @@
         fleet: The workers.
         health: Health of the workers.
         run_times: Expected durations.
-        max_view_age_seconds: Maximum age of the view when a start is sent.
-        permission_seconds: Maximum age of the view when a worker begins a start.
+        time_limits: Durations that limit the age of views.
         reporter: Receives log events and counts.
     """
 
@@ -50,19 +50,18 @@
         fleet: Fleet,
         health: WorkerHealth,
         run_times: RunTimes,
-        max_view_age_seconds: float,
-        permission_seconds: float,
+        time_limits: TimeLimits,
         reporter: Reporter,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
-        self._max_view_age_seconds = max_view_age_seconds
-        self._permission_seconds = permission_seconds
+        self._time_limits = time_limits
         self._reporter = reporter
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
+        self._jobs_read_at = float("-inf")
         self._claims: dict[str, _WorkerClaim] = {}
         self._set_aside: set[str] = set()
 
@@ -76,9 +75,15 @@
         self._guaranteed = {c.name: c.guaranteed_accelerators for c in configuration.customers}
         self._evacuated = evacuated
 
-    def update_view_time(self, read_at: float) -> None:
-        """Record when the settings and the list of workers were read, in seconds."""
+    def update_view_time(self, read_at: float, *, jobs_read_at: float) -> None:
+        """Record when the view was read.
+
+        Args:
+            read_at: When the settings and the list of workers were read, in seconds.
+            jobs_read_at: When the records of jobs were read, in seconds.
+        """
         self._view_at = max(self._view_at, read_at)
+        self._jobs_read_at = max(self._jobs_read_at, jobs_read_at)
 
     @property
     def view_read_at(self) -> float:
@@ -88,12 +93,16 @@
     @property
     def starts_allowed_until(self) -> float:
         """Time until which the view is recent enough to send starts, in seconds."""
-        return self._view_at + self._max_view_age_seconds
+        return self.permission_ends_at - self._time_limits.start_delivery_seconds
 
     @property
     def permission_ends_at(self) -> float:
         """Time until which workers may begin the starts that the view allows, in seconds."""
-        return self._view_at + self._permission_seconds
+        limits = self._time_limits
+        return min(
+            self._view_at + limits.start_permission_seconds,
+            self._jobs_read_at + limits.cancellation_seconds,
+        )
 
     def usable_soon(self, worker: Worker) -> bool:
         """Return whether a worker is neither missing, draining nor evacuated.
--- a/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/time_limits.py
@@ -28,13 +28,21 @@
 
     Keys may have been revoked and routes changed since.
     """
-    max_start_view_age_seconds: float = 1.5
-    """Maximum age of the settings and the list of workers when a start leaves this VM.
-
-    A worker may have begun to drain, or its failure domain may have been evacuated, since.
-    """
     start_permission_seconds: float = 2.0
     """Maximum age of the settings and the list of workers when a worker begins a start.
 
-    The worker enforces it, so a start that is held up on its way takes no effect.
+    It may have begun to drain, or its failure domain may have been evacuated, since. The worker
+    enforces the limit, so a start that is held up on its way takes no effect.
     """
+    cancellation_seconds: float = 3.0
+    """Maximum age of the records of jobs when a worker begins a start.
+
+    The job may have been cancelled since.
+    """
+    start_delivery_seconds: float = 0.5
+    """Time that a start may take to reach its worker, before its permission ends."""
+
+    @property
+    def max_start_view_age_seconds(self) -> float:
+        """Maximum age of the settings and the list of workers when a start leaves this VM."""
+        return self.start_permission_seconds - self.start_delivery_seconds
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -192,7 +192,7 @@
     def tick(self) -> None:
         self.now += TICK_INTERVAL_SECONDS
         self.dispatcher.update_workers([f.entry for f in self.workers.values()], now=self.now)
-        self.dispatcher.update_view_time(self.now)
+        self.dispatcher.update_view_time(self.now, jobs_read_at=self.now)
         for fake in self.workers.values():
             for key, run in list(fake.runs.items()):
                 # A stalled run stays at 10 percent and does not end.
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -148,7 +148,7 @@
     (assignment,) = cluster.assignments("j1")
     cluster.workers[assignment.worker].end((assignment.task, assignment.run), RunEnd.DONE)
     cluster.now += 10.0
-    cluster.dispatcher.update_view_time(cluster.now)
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=cluster.now)
     cluster.dispatcher.plan(now=cluster.now)
     assert list(cluster.assignments("j1")) == [assignment]
     cluster.run(0.5)
@@ -254,7 +254,7 @@
     entry = job("j1")
     cluster.add(entry)
     cluster.dispatcher.update_workers([f.entry for f in cluster.workers.values()], now=cluster.now)
-    cluster.dispatcher.update_view_time(cluster.now)
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=cluster.now)
     cluster.poll()
     cluster.dispatcher.plan(now=cluster.now)
     cluster.record_changes()
@@ -405,7 +405,7 @@
     cluster.seconds = 30.0
     cluster.add(job("j1"))
     cluster.dispatcher.update_workers([f.entry for f in cluster.workers.values()], now=cluster.now)
-    cluster.dispatcher.update_view_time(cluster.now)
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=cluster.now)
     cluster.poll()
     cluster.dispatcher.plan(now=cluster.now)
     cluster.record_changes()
@@ -429,7 +429,7 @@
     """
     cluster.add(job("j1"))
     cluster.dispatcher.update_workers([f.entry for f in cluster.workers.values()], now=cluster.now)
-    cluster.dispatcher.update_view_time(cluster.now)
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=cluster.now)
     cluster.poll()
     cluster.dispatcher.plan(now=cluster.now)
     cluster.record_changes()
--- a/packages/dispatch/tests/test_handover.py
+++ b/packages/dispatch/tests/test_handover.py
@@ -152,7 +152,7 @@
     def act(self, owner: Owner) -> None:
         dispatcher = owner.dispatcher
         dispatcher.update_workers([w.entry for w in self.workers], now=self.now)
-        dispatcher.update_view_time(self.now)
+        dispatcher.update_view_time(self.now, jobs_read_at=self.now)
         for worker in self.workers:
             chance = self.rng.random()
             if chance < POLL_SHARE and not self.poll(owner, worker):
--- a/packages/dispatch/tests/test_permissions.py
+++ b/packages/dispatch/tests/test_permissions.py
@@ -47,7 +47,7 @@
     assert cluster.dispatcher.prepare_start(assignment, now=cluster.now)
     first = assignment.start_deadline_ms
     cluster.dispatcher.handle_start_answer(assignment, StartAnswer.UNKNOWN, now=cluster.now + 0.6)
-    cluster.dispatcher.update_view_time(cluster.now + 0.5)
+    cluster.dispatcher.update_view_time(cluster.now + 0.5, jobs_read_at=cluster.now + 0.5)
     assert cluster.dispatcher.prepare_start(assignment, now=cluster.now + 0.7)
     assert first < assignment.start_deadline_ms <= (cluster.now + 3.1) * 1e3
 
@@ -99,3 +99,36 @@
     worker = cluster.dispatcher.fleet.get("w1")
     assert worker is not None
     assert not worker.entry.draining
+
+
+@pytest.mark.parametrize("age", [0.0, 1.5, 2.4])
+def test_start_is_too_late_once_its_job_may_have_been_cancelled(age: float) -> None:
+    """Guards against a start of a cancelled job while the records of jobs cannot be read.
+
+    Settings and workers were read meanwhile, so the start counted as allowed.
+    """
+    cluster = Cluster(worker_entry("w1"))
+    assignment = place(cluster)
+    jobs_read_at = cluster.now
+    now = jobs_read_at + age
+    cluster.now = now
+    cluster.poll()
+    cluster.dispatcher.update_view_time(now, jobs_read_at=jobs_read_at)
+    assert cluster.dispatcher.prepare_start(assignment, now=now)
+    worker = cluster.dispatcher.fleet.get("w1")
+    assert worker is not None
+    too_old_at = jobs_read_at + LIMITS.cancellation_seconds
+    assert assignment.start_deadline_ms <= worker.clock.earliest(too_old_at)
+
+
+def test_nothing_is_placed_while_jobs_cannot_be_read() -> None:
+    """Guards against starts of jobs whose cancellation this owner could not read."""
+    cluster = Cluster(worker_entry("w1"))
+    cluster.run(1.0)
+    jobs_read_at = cluster.now
+    cluster.now += LIMITS.cancellation_seconds
+    cluster.poll()
+    cluster.add(job("j1"))
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=jobs_read_at)
+    cluster.dispatcher.plan(now=cluster.now)
+    assert not list(cluster.assignments("j1"))
--- a/packages/dispatch/tests/test_planning.py
+++ b/packages/dispatch/tests/test_planning.py
@@ -169,7 +169,7 @@
     cluster = Cluster(*racks(1, 2))
     cluster.add(job("j1"))
     cluster.dispatcher.update_workers([f.entry for f in cluster.workers.values()], now=cluster.now)
-    cluster.dispatcher.update_view_time(cluster.now)
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=cluster.now)
     cluster.poll()
     cluster.dispatcher.plan(now=cluster.now)
     cluster.record_changes()
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -223,7 +223,7 @@
         if view.configuration is not None:
             dispatcher.configure(view.configuration, view.evacuated)
         dispatcher.update_workers(view.worker_entries(), now=now)
-        dispatcher.update_view_time(view.decisions_fresh_at)
+        dispatcher.update_view_time(view.decisions_fresh_at, jobs_read_at=view.jobs.fresh_at)
         for worker in dispatcher.fleet:
             if self._polled.get(worker.name) is not worker:
                 self._polled[worker.name] = worker
