scheduler: workers reject a start that was held up after its check

Change: a start tells the age of the worker's reservation above which it is too late: 1 s after the check, counted from the answer to the reservation. The worker refuses it as too_late; the gang is then stopped and placed again. 0, as earlier versions send, means no limit. Evidence: test_start_that_is_held_up_on_its_way_is_refused_by_its_worker fails on the sources before. Looked for the same in routing and membership, by reading alone: a request carries its deadline and upstreams have no drain; VMs' draining flags are never withdrawn and heartbeats are ordered by their log offset. Nothing to change there. Tests of scheduler, wire, docs and of regions pass.

--- a/packages/scheduler/src/zinniaweir/scheduler/gangs.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/gangs.py
@@ -8,7 +8,11 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from zinniaweir.journal.journal import PublishError
-from zinniaweir.scheduler.worker_link import StaleEpochError, WorkerUnreachableError
+from zinniaweir.scheduler.worker_link import (
+    COMMAND_TIMEOUT_SECONDS,
+    StaleEpochError,
+    WorkerUnreachableError,
+)
 from zinniaweir.telemetry.logs import log
 from zinniaweir.wire.records import JobPlaced, JobStarted, Member
 from zinniaweir.wire.worker_service import (
@@ -123,11 +127,11 @@
         """
         try:
             await self._wait_until_allowed(gang)
-            await self._reserve(gang)
+            reserved_at = await self._reserve(gang)
             await self._publish_placement(gang)
             self._check_start(gang)
             self._sent_starts.add((gang.job_id, gang.attempt))
-            await self._start_members(gang)
+            await self._start_members(gang, reserved_at)
         except StartRefusedError as error:
             sent = self.may_have_run(gang)
             await self.stop(gang, retry_seconds=1.0 if sent else 0.0)
@@ -224,7 +228,12 @@
         if refusal := self._start_refusal(gang):
             raise StartRefusedError(worker=None, reason=refusal)
 
-    async def _reserve(self, gang: Gang) -> None:
+    async def _reserve(self, gang: Gang) -> dict[str, float]:
+        """Reserve the members' accelerators.
+
+        Returns:
+            When each worker had answered, in seconds of the monotonic clock.
+        """
         requests = [
             (
                 member.worker,
@@ -241,7 +250,7 @@
             )
             for member in gang.members
         ]
-        await self._send_all("Reserve", requests)
+        return await self._send_all("Reserve", requests)
 
     async def _publish_placement(self, gang: Gang) -> None:
         body = JobPlaced(
@@ -256,25 +265,46 @@
         except PublishError as error:
             raise StartRefusedError(worker=None, reason=error.reason) from error
 
-    async def _start_members(self, gang: Gang) -> None:
-        request = StartRequest(
-            epoch=self._epoch,
-            job_id=gang.job_id,
-            attempt=gang.attempt,
-            name=gang.spec.name,
-            lease_seconds=self._leases.first_seconds,
-            start_fraction=gang.done_fraction,
-            payload=gang.spec.payload,
-        )
-        await self._send_all("Start", [(worker, request) for worker in gang.workers])
+    async def _start_members(self, gang: Gang, reserved_at: Mapping[str, float]) -> None:
+        # The worker knows how old its reservation is, so it can reject a start that was held up
+        # for longer than what allowed it holds.
+        too_late_at = time.monotonic() + COMMAND_TIMEOUT_SECONDS
+        requests = [
+            (
+                worker,
+                StartRequest(
+                    epoch=self._epoch,
+                    job_id=gang.job_id,
+                    attempt=gang.attempt,
+                    name=gang.spec.name,
+                    lease_seconds=self._leases.first_seconds,
+                    start_fraction=gang.done_fraction,
+                    payload=gang.spec.payload,
+                    max_reservation_age_seconds=too_late_at - reserved_at[worker],
+                ),
+            )
+            for worker in gang.workers
+        ]
+        await self._send_all("Start", requests)
 
-    async def _send_all(self, name: str, requests: list[tuple[str, Any]]) -> None:
-        results = await asyncio.gather(
-            *(self._send(name, worker, request) for worker, request in requests)
-        )
+    async def _send_all(self, name: str, requests: list[tuple[str, Any]]) -> dict[str, float]:
+        """Send requests at once; return when each worker had answered all of its requests.
+
+        Raises:
+            StartRefusedError: If a worker refused or did not answer.
+        """
+        answered_at: dict[str, float] = {}
+
+        async def send(worker: str, request: Any) -> tuple[str, str]:
+            result = await self._send(name, worker, request)
+            answered_at[worker] = time.monotonic()
+            return result
+
+        results = await asyncio.gather(*(send(worker, request) for worker, request in requests))
         for worker, refusal in results:
             if refusal:
                 raise StartRefusedError(worker=worker, reason=refusal)
+        return answered_at
 
     async def _send(self, name: str, worker: str, request: Any) -> tuple[str, str]:
         link = self._links.get(worker)
--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -18,7 +18,10 @@
     from zinniaweir.wire.worker_service import ListReply, Usage, WorkerEvent
 
 COMMAND_TIMEOUT_SECONDS: Final = 1.0
-"""Timeout of a command. A start must not take effect later than this after it was checked."""
+"""Timeout of a command. A start must not take effect later than this after it was checked.
+
+The worker enforces it by the age of its reservation.
+"""
 LOST_AFTER_SECONDS: Final = 4.0
 """Time without an answer after which a worker counts as lost; its leases then expire."""
 RETRY_DELAY_SECONDS: Final = 0.25
--- a/packages/scheduler/tests/test_gangs.py
+++ b/packages/scheduler/tests/test_gangs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -9,8 +10,13 @@
 from zinniaweir.journal.journal import PublishError
 from zinniaweir.scheduler.gangs import Gang, GangRunner, StartOutcome
 from zinniaweir.scheduler.leases import LeaseSettings
-from zinniaweir.scheduler.worker_link import StaleEpochError, WorkerUnreachableError
+from zinniaweir.scheduler.worker_link import (
+    COMMAND_TIMEOUT_SECONDS,
+    StaleEpochError,
+    WorkerUnreachableError,
+)
 from zinniaweir.wire.records import JobSpec, Member
+from zinniaweir_standins.worker import WorkerStandin
 
 GANG = Gang(
     job_id="j",
@@ -31,10 +37,12 @@
     def __init__(self, **answers: Any) -> None:
         self.answers = answers
         self.commands: list[str] = []
+        self.requests: list[Any] = []
         self.renewed: set[tuple[str, int]] = set()
 
     async def command(self, name: str, request: Any) -> str:
         self.commands.append(name)
+        self.requests.append(request)
         answer = self.answers.get(name, "")
         answer = answer.pop(0) if isinstance(answer, list) and answer else answer
         if callable(answer):
@@ -204,3 +212,29 @@
     journal = FakeJournal(publish_error(may_appear=True))
     asyncio.run(make({}, journal).record_start(GANG))
     assert journal.published == ["JobStarted"]
+
+
+def test_start_that_is_held_up_on_its_way_is_refused_by_its_worker() -> None:
+    """Guards against a start that takes effect after a drain; it was only checked when it was sent.
+
+    The link holds the start up for longer than a start may take after it was checked.
+    """
+    worker = WorkerStandin(name="w0", accelerators=1)
+    held_up: list[Any] = []
+
+    async def reserve() -> str:
+        return (await worker.reserve(link.requests[-1])).refusal
+
+    async def hold_up() -> str:
+        held_up.append(link.requests[-1])
+        return ""
+
+    link = FakeLink(Reserve=reserve, Start=hold_up)
+    gang = replace(GANG, members=GANG.members[:1])
+
+    async def work() -> str:
+        assert (await make({"w0": link}).start(gang)).started
+        await asyncio.sleep(COMMAND_TIMEOUT_SECONDS + 0.1)
+        return (await worker.start(held_up[0])).refusal
+
+    assert asyncio.run(work()) == "too_late"
--- a/packages/wire/src/zinniaweir/wire/worker_service.py
+++ b/packages/wire/src/zinniaweir/wire/worker_service.py
@@ -55,6 +55,8 @@
     start_fraction: float = 0.0
     """Fraction of the work that an earlier checkpoint holds."""
     payload: bytes = b""
+    max_reservation_age_seconds: float = 0.0
+    """Age of the newest reservation here above which the start is too late; 0 for no limit."""
 
 
 class GangRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,7 +83,7 @@
     ok: bool
     """Whether the command was carried out."""
     refusal: str = ""
-    """One of `stale_epoch`, `busy`, `unknown_gang`, `start_failed` or empty."""
+    """One of `stale_epoch`, `busy`, `unknown_gang`, `too_late`, `start_failed` or empty."""
     epoch: int = 0
     """Highest epoch that the worker has received."""
 
--- a/standins/src/zinniaweir_standins/worker.py
+++ b/standins/src/zinniaweir_standins/worker.py
@@ -69,6 +69,8 @@
     """`reserved`, `running` or `checkpointing`."""
     lease_until: float
     """Monotonic time at which the lease or the reservation lapses."""
+    reserved_at: float
+    """Monotonic time at which it was reserved."""
     payload: TaskPayload = field(default_factory=TaskPayload)
     started_at: float = 0.0
     """Monotonic time at which the task started."""
@@ -116,10 +118,12 @@
         if any(not 0 <= index < self._accelerators for index in wanted):
             return self._refuse("busy")
         if key not in self._tasks:
+            now = time.monotonic()
             self._tasks[key] = Task(
                 request=request,
                 state="reserved",
-                lease_until=time.monotonic() + request.ttl_seconds,
+                lease_until=now + request.ttl_seconds,
+                reserved_at=now,
             )
         self.faults.after("reserve")
         return CommandReply(ok=True, epoch=self._epoch)
@@ -135,6 +139,9 @@
         if self.faults.value("fail_starts", False):
             return self._refuse("start_failed")
         now = time.monotonic()
+        max_age = request.max_reservation_age_seconds
+        if max_age and now - max(task.reserved_at for task in tasks) > max_age:
+            return self._refuse("too_late")
         payload = _decode_payload(request.payload)
         for task in tasks:
             if task.state == "reserved":
