dispatch: give up work that crashes the workers that start it

Cause: a run that is lost with its worker was nobody's fault. Nothing remembered it, a crash looked like the end of a lease, and only ends 'failed' counted as attempts; what an owner might have learned was not on the log. The class: a failure without an answer is taken for bad luck however often it happens. Change: dispatch/crashes.py keeps each unit's losses in its progress on the log, for the next owner too. Who else was there tells the culprit: units lost together are placed apart, of a job one unit runs first until one has run well, a unit with two unexplained losses runs alone, and with three to five losses, by how many nothing else can explain, its job is shown as failed. A worker that answers again in the same incarnation clears its losses; the losses that others shared with a culprit are explained.

--- /dev/null
+++ b/packages/dispatch/src/zinniaweir/dispatch/crashes.py
@@ -0,0 +1,215 @@
+"""Losses of workers: which unit crashes the workers that start it, told by who else was there."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from zinniaweir.workloads.records import LossRecord
+
+if TYPE_CHECKING:
+    from zinniaweir.dispatch.fleet import Worker
+    from zinniaweir.dispatch.reporting import Reporter
+    from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
+
+SOLE_LOSSES_TO_GIVE_UP: Final = {3: 2, 4: 1}
+"""By the losses of a unit: how many nothing else can explain, with which it is given up."""
+MAX_LOSSES: Final = 5
+"""Losses with which a unit is given up even if other explanations are possible.
+
+The platform allows two more starts after the third crash under a task.
+"""
+MIN_UNEXPLAINED_LOSSES: Final = 2
+"""A unit with fewer losses that nothing explains is never given up."""
+CULPRIT_FOUND: Final = "culprit_found"
+"""Reason for which a loss does not count: a unit that was there too is given up."""
+WORKER_RAN_ON: Final = "worker_ran_on"
+"""Reason for which a loss does not count: the worker was cut off, and answers again."""
+SAME_TIME_SECONDS: Final = 2.0
+"""Workers whose last answers are within this time of each other may have one cause.
+
+Idle workers answer polls this seldom.
+"""
+MIN_MASS_LOSS: Final = 2
+"""Number of other workers that are lost at the same time, from which units are not suspected."""
+MAX_RECENT_LOSSES: Final = 64
+"""Number of lost workers that are remembered to recognize those of one time."""
+
+
+class CrashSuspects:
+    """Remember the units that were on lost workers, and find those that crash them.
+
+    A unit takes the innocent units on its worker along, so a single loss tells nothing. Units that
+    were lost together are placed apart, a unit with several losses runs alone on its workers, and
+    the losses of an innocent one are explained once a unit that shared them is given up. The losses
+    are part of a job's progress, so that the next owner knows them.
+
+    Args:
+        on_changed: Called with each job whose losses changed.
+        reporter: Receives log events and counts.
+    """
+
+    def __init__(self, *, on_changed: Callable[[OwnedJob], None], reporter: Reporter) -> None:
+        self._on_changed = on_changed
+        self._log = reporter.log
+        self._count = reporter.count
+        self._units: dict[tuple[str, int], dict[Unit, None]] = {}
+        self._recent: deque[tuple[str, float]] = deque(maxlen=MAX_RECENT_LOSSES)
+
+    def add_job(self, job: OwnedJob) -> None:
+        """Add the losses of a job that was read from the log."""
+        for unit in job.units:
+            for loss in unit.losses:
+                self._units.setdefault((loss.worker, loss.incarnation), {})[unit] = None
+
+    def remove_job(self, job: OwnedJob) -> None:
+        """Remove the losses of a job that is not retained any more."""
+        for unit in job.units:
+            self._discard(unit, unit.losses)
+
+    def record_worker(self, worker: Worker) -> None:
+        """Record that a worker is lost, whether or not anything ran there."""
+        if not _hosts_suspect(worker):
+            self._recent.append((worker.name, worker.answered_at))
+
+    def record(
+        self, assignments: Sequence[Assignment], *, worker: Worker | None, fleet: Iterable[Worker]
+    ) -> list[Unit]:
+        """Record the runs that are lost with one worker.
+
+        Args:
+            assignments: The runs on the worker, including starts that may have arrived.
+            worker: The worker, None if this owner never knew it.
+            fleet: All workers, which may have been lost at the same time.
+
+        Returns:
+            The units that are to be given up.
+        """
+        units = dict.fromkeys(a.unit for a in assignments if not a.unit.job.closed)
+        if not units or (worker is not None and worker.entry.draining):
+            return []
+        lost = assignments[0]
+        others: set[str] = set()
+        if worker is not None:
+            # A gang crashes several workers at once.
+            hosts = {a.worker for unit in units for a in unit.assignments.values()}
+            others = self._lost_at_the_same_time(worker, fleet) - hosts
+        sole = worker is not None and len(units) == 1 and len(others) < MIN_MASS_LOSS
+        for unit in units:
+            if any(loss.run == unit.run for loss in unit.losses):
+                # One loss for each run: a gang loses several workers if a failure domain fails.
+                continue
+            loss = LossRecord(unit.run, lost.worker, lost.incarnation, sole)
+            unit.losses = (*unit.losses, loss)
+            self._units.setdefault((loss.worker, loss.incarnation), {})[unit] = None
+            self._on_changed(unit.job)
+            self._count("losses", "sole_unit" if sole else "shared")
+            self._log(
+                "unit_lost",
+                job_id=unit.job.job_id,
+                step=unit.step_number,
+                first=unit.indexes[0],
+                run=unit.run,
+                worker=loss.worker,
+                losses=len(unit.losses),
+                units_there=len(units),
+                lost_at_the_same_time=len(others),
+            )
+        return [unit for unit in units if self._is_culprit(unit)]
+
+    def clear_worker(self, worker: str, incarnation: int) -> None:
+        """Remove the losses on a worker that ran on and answers again."""
+        for unit in self._units.pop((worker, incarnation), ()):
+            remaining = (loss for loss in unit.losses if not _is_on(loss, worker, incarnation))
+            self._change(unit, remaining, worker=worker, reason=WORKER_RAN_ON)
+
+    def explain(self, culprit: Unit) -> None:
+        """Mark the losses that other units shared with a unit that is given up."""
+        for worker, incarnation in {(loss.worker, loss.incarnation) for loss in culprit.losses}:
+            for unit in self._units.get((worker, incarnation), ()):
+                if unit is culprit:
+                    continue
+                marked = (
+                    msgspec.structs.replace(loss, explained=True)
+                    if _is_on(loss, worker, incarnation)
+                    else loss
+                    for loss in unit.losses
+                )
+                self._change(unit, marked, worker=worker, reason=CULPRIT_FOUND)
+
+    def forget(self, unit: Unit) -> None:
+        """Remove all losses of a unit that is done, which shows that it crashes no worker."""
+        self._discard(unit, unit.losses)
+        unit.losses = ()
+
+    def apart_from(self, unit: Unit) -> set[str]:
+        """Return the workers of units of other jobs that were lost together with a unit."""
+        workers: set[str] = set()
+        for loss in unit.losses:
+            for other in self._units.get((loss.worker, loss.incarnation), ()):
+                if other.job is not unit.job:
+                    workers.update(a.worker for a in other.assignments.values())
+        return workers
+
+    def _is_culprit(self, unit: Unit) -> bool:
+        if unit.unexplained_losses < MIN_UNEXPLAINED_LOSSES:
+            return False
+        needed = SOLE_LOSSES_TO_GIVE_UP.get(min(len(unit.losses), MAX_LOSSES - 1))
+        sole = sum(loss.sole for loss in unit.losses)
+        return len(unit.losses) >= MAX_LOSSES or (needed is not None and sole >= needed)
+
+    def _lost_at_the_same_time(self, worker: Worker, fleet: Iterable[Worker]) -> set[str]:
+        """Return the workers that stopped answering at the same time as a lost one.
+
+        Those with a unit that was lost before are left out, since that unit explains their loss.
+        """
+        lost = {name for name, at in self._recent if _same_time(at, worker.answered_at)}
+        lost |= {
+            other.name
+            for other in fleet
+            if other.unanswered
+            and not _hosts_suspect(other)
+            and _same_time(other.answered_at, worker.answered_at)
+        }
+        return lost - {worker.name}
+
+    def _change(
+        self, unit: Unit, losses: Iterable[LossRecord], *, worker: str, reason: str
+    ) -> None:
+        """Replace the losses of a unit, since the one on a worker does not count any more."""
+        unit.losses = tuple(losses)
+        self._on_changed(unit.job)
+        self._count("losses_cleared", reason)
+        self._log(
+            "unit_loss_cleared",
+            job_id=unit.job.job_id,
+            step=unit.step_number,
+            first=unit.indexes[0],
+            worker=worker,
+            losses=unit.unexplained_losses,
+            reason=reason,
+        )
+
+    def _discard(self, unit: Unit, losses: Iterable[LossRecord]) -> None:
+        for loss in losses:
+            key = (loss.worker, loss.incarnation)
+            units = self._units.get(key, {})
+            units.pop(unit, None)
+            if not units:
+                self._units.pop(key, None)
+
+
+def _is_on(loss: LossRecord, worker: str, incarnation: int) -> bool:
+    return loss.worker == worker and loss.incarnation == incarnation
+
+
+def _hosts_suspect(worker: Worker) -> bool:
+    """Return whether a unit that was lost with another worker before may have run on a worker."""
+    return any(a.unit.losses and a.may_have_run for a in worker.assignments.values())
+
+
+def _same_time(first: float, second: float) -> bool:
+    return abs(first - second) <= SAME_TIME_SECONDS
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -107,6 +107,7 @@
             health=self._health,
             run_times=self._run_times,
             time_limits=time_limits,
+            apart_from=self._runs.suspects.apart_from,
             reporter=reporter,
         )
 
@@ -156,6 +157,7 @@
             return
         self._runs.changed = True
         job = self._jobs[job_id] = OwnedJob(entry, now=now, age=age)
+        self._runs.suspects.add_job(job)
         for assignment in job.assignments:
             self._adopt(assignment)
             if job.closed:
@@ -300,9 +302,25 @@
             self._health.record_rejection(assignment.worker, now=now)
         if assignment.start_unanswered and answer is not StartAnswer.OTHER_LIFE:
             self._runs.stop_unit(assignment.unit, f"start_{answer}", now)
+        elif assignment.start_unanswered:
+            self._end_in_lost_incarnation(assignment, now)
         else:
             self._runs.end(assignment, RunEnd.LOST, "", now, cause=f"start_{answer}")
 
+    def _end_in_lost_incarnation(self, assignment: Assignment, now: float) -> None:
+        """End an assignment whose worker restarted after a copy of the start may have arrived.
+
+        The other runs of that incarnation are lost too; they end once its entry tells so.
+        """
+        worker = self._worker_of(assignment)
+        culprits = (
+            []
+            if worker is None
+            else self._runs.record_loss(worker.assignments.values(), worker=worker)
+        )
+        self._runs.end(assignment, RunEnd.LOST, "", now, cause="start_other_life")
+        self._runs.give_up(culprits, now)
+
     def mark_stop_sent(self, assignment: Assignment, *, now: float) -> None:
         """Record that a stop was sent."""
         assignment.stop_sent_at, assignment.stop_in_flight = now, True
@@ -417,6 +435,7 @@
         for job in list(self._jobs.values()):
             if self._expired(job, now):
                 changes.expired_job_ids.append(job.job_id)
+                self._runs.suspects.remove_job(job)
                 del self._jobs[job.job_id]
         return changes
 
@@ -446,11 +465,14 @@
 
     def _attach_inherited(self, worker: Worker, now: float) -> None:
         """Attach the previous owner's assignments to a worker; end those of old incarnations."""
+        lost = []
         for assignment in self._inherited.pop_for_worker(worker.name, worker.entry.incarnation):
             if assignment.incarnation == worker.entry.incarnation:
                 worker.assign(assignment)
             else:
-                self._runs.end(assignment, RunEnd.LOST, "", now, cause="worker_born_again")
+                lost.append(assignment)
+        if lost:
+            self._runs.end_lost(lost, worker=None, cause="worker_born_again", now=now)
 
     def _worker_of(self, assignment: Assignment) -> Worker | None:
         worker = self._fleet.get(assignment.worker)
--- a/packages/dispatch/src/zinniaweir/dispatch/expiry.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/expiry.py
@@ -12,7 +12,6 @@
 )
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.inherited import InheritedAssignments
-from zinniaweir.dispatch.messages import RunEnd
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runs import Runs
 
@@ -55,8 +54,8 @@
         Args:
             now: Current time in seconds.
         """
-        for assignment in self._inherited.pop_expired(now):
-            self._runs.end(assignment, RunEnd.LOST, "", now, cause="lease_over")
+        for assignments in self._inherited.pop_expired(now):
+            self._runs.end_lost(assignments, worker=None, cause="lease_over", now=now)
         for worker in list(self._fleet):
             self._expire_worker(worker, now)
             self._stop_partial_gangs(worker, now)
@@ -66,8 +65,9 @@
         # An owner that was paused asks first: the worker may have ends to report.
         asked_at = worker.unanswered_poll_sent_at
         if silent and worker.assignments and self._leases_expired(worker, asked_at):
-            for assignment in list(worker.assignments.values()):
-                self._runs.end(assignment, RunEnd.LOST, "", now, cause="lease_over")
+            self._runs.end_lost(
+                list(worker.assignments.values()), worker=worker, cause="lease_over", now=now
+            )
         missing = (
             worker.missing_since is not None and now - worker.missing_since > REMOVE_MISSING_SECONDS
         )
@@ -108,6 +108,4 @@
         """
         self._log("worker_lost", worker=worker.name, cause=cause, seats=len(worker.assignments))
         self._health.discard(worker.name)
-        for assignment in list(worker.assignments.values()):
-            worker.unassign(assignment)
-            self._runs.end(assignment, RunEnd.LOST, "", now, cause=cause)
+        self._runs.end_lost(list(worker.assignments.values()), worker=worker, cause=cause, now=now)
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -84,6 +84,16 @@
         """The worker's name."""
         return self.entry.worker
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether the newest poll that ended had no answer."""
+        return self.unanswered_poll_sent_at > self.answered_at
+
+    @property
+    def exclusive(self) -> bool:
+        """Whether it is kept for a unit that may crash it."""
+        return any(assignment.unit.isolated for assignment in self.assignments.values())
+
     @property
     def free_accelerators(self) -> int:
         """Number of accelerators that are not in use."""
@@ -93,12 +103,15 @@
         """Return how many tasks of a size fit in addition to the current assignments."""
         found = self._fits.get(demand)
         if found is None:
-            found = self._fits[demand] = fit_count(
-                demand,
-                cpu=self.entry.cpu_millis - self.used_cpu,
-                memory=self.entry.memory_mb - self.used_memory,
-                accelerators=self.entry.accelerators - self.used_accelerators,
-            )
+            found = 0
+            if not self.exclusive:
+                found = fit_count(
+                    demand,
+                    cpu=self.entry.cpu_millis - self.used_cpu,
+                    memory=self.entry.memory_mb - self.used_memory,
+                    accelerators=self.entry.accelerators - self.used_accelerators,
+                )
+            self._fits[demand] = found
         return found
 
     def fits_empty(self, demand: Demand) -> int:
--- a/packages/dispatch/src/zinniaweir/dispatch/inherited.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/inherited.py
@@ -46,10 +46,10 @@
         if not assignments:
             del self._assignments[worker]
 
-    def pop_expired(self, now: float) -> Iterator[Assignment]:
-        """Yield and remove all assignments once every lease has expired."""
+    def pop_expired(self, now: float) -> Iterator[list[Assignment]]:
+        """Yield and remove the assignments of each worker once every lease has expired."""
         if not self.leases_expired(now):
             return
         assignments, self._assignments = self._assignments, {}
         for group in assignments.values():
-            yield from group.values()
+            yield list(group.values())
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -68,6 +68,7 @@
                 self._log("worker_born_again", worker=worker.name, life=listing.incarnation)
             return
         worker.answered_at = now
+        self._runs.suspects.clear_worker(worker.name, listing.incarnation)
         if renewed:
             worker.lease_confirmed_at = max(worker.lease_confirmed_at, poll_sent_at)
         worker.clock.observe(listing.clock_ms, sent_at=poll_sent_at, received_at=now)
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -55,8 +55,16 @@
     return sum(task.job_id == job_id and task.step == number for task, _ in worker.assignments)
 
 
-def capacity_for(unit: Unit, worker: Worker) -> int:
-    """Return how many tasks of a unit's step fit on a worker now."""
+def capacity_for(unit: Unit, worker: Worker, *, empty_only: bool = False) -> int:
+    """Return how many tasks of a unit's step fit on a worker now.
+
+    Args:
+        unit: The unit.
+        worker: The worker.
+        empty_only: Whether only a worker without any task counts.
+    """
+    if empty_only and worker.assignments:
+        return 0
     count = worker.fits(unit.demand)
     if count and unit.step.max_per_worker:
         count = _apply_worker_limit(unit, count, present=count_step_tasks(unit, worker))
@@ -76,6 +84,7 @@
     rack_use: Mapping[str, int],
     failed_job_count: Callable[[str], int] = lambda _: 0,
     spread_allowed: bool = False,
+    empty_only: bool = False,
 ) -> list[Worker] | None:
     """Choose a worker for each task of a unit.
 
@@ -87,6 +96,7 @@
         rack_use: Accelerators in use, by rack.
         failed_job_count: Returns how many jobs failed on a worker; workers with more are used last.
         spread_allowed: Whether a rack-local gang may use several racks.
+        empty_only: Whether only workers without any task may be used.
 
     Returns:
         One worker for each index of the unit, or None if the tasks don't fit.
@@ -100,7 +110,7 @@
             ),
         )
         for worker in workers
-        if (count := capacity_for(unit, worker)) > 0
+        if (count := capacity_for(unit, worker, empty_only=empty_only)) > 0
     ]
     needed = len(unit.indexes)
     if sum(candidate.count for candidate in candidates) < needed:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -41,6 +41,8 @@
         health: Health of the workers.
         run_times: Expected durations.
         time_limits: Durations that limit the age of views.
+        apart_from: Returns the workers that a unit should keep away from, since the units there and
+            this one were lost with one worker.
         reporter: Receives log events and counts.
     """
 
@@ -51,12 +53,14 @@
         health: WorkerHealth,
         run_times: RunTimes,
         time_limits: TimeLimits,
+        apart_from: Callable[[Unit], set[str]],
         reporter: Reporter,
     ) -> None:
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
         self._time_limits = time_limits
+        self._apart_from = apart_from
         self._reporter = reporter
         self._guaranteed: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -156,6 +160,7 @@
             view_age=now - self._view_at,
             usable=[w for w in self._fleet if not self.exclusion_reason(w, now)],
             usable_soon=[w for w in self._fleet if self.usable_soon(w)],
+            apart_from=self._apart_from,
             place=place,
             stop=stop,
         )
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -16,7 +16,7 @@
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.reservations import BACKFILL_MARGIN, Reservation, reserve
 from zinniaweir.dispatch.run_times import RunTimes
-from zinniaweir.dispatch.units import Assignment, Unit
+from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.spec import StepSpec
 
 MAX_RESERVATIONS: Final = 4
@@ -44,6 +44,13 @@
 
 It then runs more slowly. No job may wait with nothing running for 3 s while the cluster is idle.
 """
+HARMLESS_RUN_SECONDS: Final = 1.0
+"""Time that a run has to last, while its worker answers, to show that it does not crash workers."""
+MAX_EMPTY_WAIT_SECONDS: Final = 2.0
+"""Time after which an isolated unit with nothing running may share a worker of an idle cluster.
+
+No job may wait with nothing running for 3 s while the cluster is idle.
+"""
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
 LARGE_TASK_SHARE: Final = 0.5
@@ -69,6 +76,8 @@
 
     now: float
     """Current time in seconds."""
+    apart_from: Callable[[Unit], set[str]]
+    """Returns the workers that a unit should keep away from."""
     view_age: float
     """Seconds since settings and the list of workers were read."""
     usable: Sequence[Worker]
@@ -116,6 +125,8 @@
         self._allowed: dict[tuple[object, ...], list[Worker]] = {}
         self._with_capacity: dict[tuple[object, ...], list[Worker]] = {}
         self._ends: dict[str, float] = {}
+        self._canaries: dict[str, Unit | None] = {}
+        self._workers_by_name = {worker.name: worker for worker in self._usable}
         self._rack_capacities: dict[tuple[object, ...], int] = {}
         self._rack_use: dict[str, int] = defaultdict(int)
         for worker in self._usable:
@@ -130,6 +141,8 @@
             covered: Whether its job is covered by its customer's guarantee.
         """
         # Reserved workers are open to some units and closed to others with the same demand.
+        if self._waits_for_sibling(unit):
+            return
         placement_key = (*_placement_key(unit), unit.job.job_id if self._reservations else "")
         if placement_key in self._unplaceable:
             return
@@ -137,10 +150,11 @@
         excluded = self._excluded_for(unit)
         chosen = choose_workers(
             unit,
-            _open_to(unit, self._with_capacity_for(unit), excluded),
+            self._open_to(unit, self._with_capacity_for(unit), excluded),
             rack_use=self._rack_use,
             failed_job_count=self._health.failed_job_count,
             spread_allowed=spread_allowed,
+            empty_only=self._needs_empty_workers(unit),
         )
         if chosen is not None:
             self._context.place(unit, chosen)
@@ -149,7 +163,7 @@
             return
         self._unplaceable.add(placement_key)
         self._report_wait(unit, rank, excluded, covered=covered)
-        if unit.job.terms.priority == GUARANTEED_PRIORITY:
+        if unit.job.terms.priority == GUARANTEED_PRIORITY and not unit.isolated:
             self._preempt_for(unit, rank, excluded, spread_allowed=spread_allowed, covered=covered)
         self._reserve_capacity(unit, rank, spread_allowed)
 
@@ -157,7 +171,7 @@
         if unit.wait_logged:
             return
         unit.wait_logged = True
-        workers = _open_to(unit, self._allowed_for(unit), excluded)
+        workers = self._open_to(unit, self._allowed_for(unit), excluded)
         self._reporter.count("waits", "no_worker" if not workers else "no_room")
         self._reporter.log(
             "unit_waits",
@@ -210,6 +224,55 @@
         kept = (r.workers for r in self._reservations if end > r.ready_at)
         return set().union(*kept)
 
+    def _waits_for_sibling(self, unit: Unit) -> bool:
+        """Return whether a unit waits until another of its job shows that they crash no worker.
+
+        Units of a job are alike. If one was lost with its worker, and none has run well since, the
+        one with the most losses runs first.
+        """
+        job = unit.job
+        if job.job_id not in self._canaries:
+            self._canaries[job.job_id] = _choose_canary(job)
+        canary = self._canaries[job.job_id]
+        if canary is None or canary is unit:
+            return False
+        return unit.isolated or not self._runs_well(job)
+
+    def _runs_well(self, job: OwnedJob) -> bool:
+        """Return whether a unit of a job is done, or has run without harm to its workers."""
+        if any(unit.done for unit in job.units):
+            return True
+        for assignment in job.assignments:
+            worker = self._workers_by_name.get(assignment.worker)
+            if (
+                worker is not None
+                and assignment.started_at is not None
+                and worker.answered_at - assignment.started_at > HARMLESS_RUN_SECONDS
+            ):
+                return True
+        return False
+
+    def _needs_empty_workers(self, unit: Unit) -> bool:
+        """Return whether a unit may only run where nothing else does."""
+        if not unit.isolated:
+            return False
+        return not (self._idle and self._has_waited_without_running(unit, MAX_EMPTY_WAIT_SECONDS))
+
+    def _open_to(self, unit: Unit, workers: Sequence[Worker], excluded: set[str]) -> list[Worker]:
+        """Return the workers that are open to a unit.
+
+        Workers on which it failed, or with a unit that was lost together with it, are left out if
+        enough others remain.
+        """
+        found = [w for w in workers if w.name not in excluded]
+        avoided = unit.failed_workers
+        if unit.losses:
+            avoided = avoided | self._context.apart_from(unit)
+        if not avoided:
+            return found
+        others = [w for w in found if w.name not in avoided]
+        return others if len(others) >= len(unit.indexes) else found
+
     def _has_waited_without_running(self, unit: Unit, seconds: float) -> bool:
         return self._now - unit.waiting_since > seconds and not any(unit.job.assignments)
 
@@ -244,7 +307,7 @@
         ):
             return
         unit.preemption_searched_at = now
-        workers = _open_to(unit, self._allowed_for(unit), excluded)
+        workers = self._open_to(unit, self._allowed_for(unit), excluded)
         eviction = choose_eviction(unit, workers, now=now, spread_allowed=spread_allowed)
         if eviction is None:
             return
@@ -275,7 +338,8 @@
     def _reserve_capacity(self, unit: Unit, rank: Rank, spread_allowed: bool) -> None:
         if rank.lateness > 1 or not self._may_reserve(unit):
             return
-        if len(unit.indexes) == 1 and not _is_large(unit.step, self._usable):
+        small = len(unit.indexes) == 1 and not _is_large(unit.step, self._usable)
+        if small and not unit.isolated:
             return
         reserved = {name for r in self._reservations for name in r.workers}
         reservation = reserve(
@@ -296,7 +360,9 @@
 
     def _free_at(self, worker: Worker, unit: Unit) -> float:
         """Return when a worker is expected to hold as many tasks of a unit as if it were empty."""
-        if worker.fits(unit.demand) >= worker.fits_empty(unit.demand):
+        if not worker.assignments:
+            return self._now
+        if not unit.isolated and worker.fits(unit.demand) >= worker.fits_empty(unit.demand):
             return self._now
         end = self._ends.get(worker.name)
         if end is None:
@@ -308,22 +374,16 @@
         return end
 
 
-def _open_to(unit: Unit, workers: Sequence[Worker], excluded: set[str]) -> list[Worker]:
-    """Return the workers that are open to a unit.
-
-    Workers on which it failed are left out if enough others remain.
-    """
-    found = [w for w in workers if w.name not in excluded]
-    if not unit.failed_workers:
-        return found
-    without_failure = [w for w in found if w.name not in unit.failed_workers]
-    return without_failure if len(without_failure) >= len(unit.indexes) else found
+def _choose_canary(job: OwnedJob) -> Unit | None:
+    """Return the unit of a job that was lost with its workers most often, None if none was."""
+    lost = [unit for unit in job.units if unit.losses and not unit.done]
+    return max(lost, key=lambda unit: len(unit.losses), default=None)
 
 
 def _placement_key(unit: Unit) -> tuple[object, ...]:
     """Return a key that units share if either all or none of them can be placed."""
     step = unit.step
-    if step.max_per_worker or unit.failed_workers or len(unit.indexes) > 1:
+    if step.max_per_worker or unit.failed_workers or unit.losses or len(unit.indexes) > 1:
         return (unit.job.job_id, unit.step_number, *unit.indexes[:1])
     return (unit.job.terms.service, unit.demand, step.required_label)
 
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from zinniaweir.dispatch.crashes import CrashSuspects
 from zinniaweir.dispatch.departure import seconds_after_notice
 from zinniaweir.dispatch.fleet import Fleet, Worker
 from zinniaweir.dispatch.health import WorkerHealth
@@ -11,6 +15,9 @@
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 
+CRASHES_WORKERS: Final = "crashes_workers"
+"""Reason for which a job is given up: a task or gang of it crashes the workers that start it."""
+
 
 class Runs:
     """Apply what happens to runs to their workers, units and jobs.
@@ -25,6 +32,8 @@
     def __init__(
         self, *, fleet: Fleet, health: WorkerHealth, run_times: RunTimes, reporter: Reporter
     ) -> None:
+        self.suspects = CrashSuspects(on_changed=self._on_losses_changed, reporter=reporter)
+        """Units that were lost with their workers."""
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
@@ -126,6 +135,55 @@
         elif not unit.done:
             self._handle_interruption(assignment, end, now)
 
+    def end_lost(
+        self, assignments: Sequence[Assignment], *, worker: Worker | None, cause: str, now: float
+    ) -> None:
+        """End all runs of one incarnation of a worker that is lost.
+
+        Args:
+            assignments: The runs on the worker.
+            worker: The incarnation, None if this owner never knew it.
+            cause: How the loss is known, for the log.
+            now: Current time in seconds.
+        """
+        if worker is not None:
+            self.suspects.record_worker(worker)
+        culprits = self.record_loss(assignments, worker=worker)
+        for assignment in assignments:
+            if worker is not None:
+                worker.unassign(assignment)
+            self.end(assignment, RunEnd.LOST, "", now, cause=cause)
+        self.give_up(culprits, now)
+
+    def record_loss(
+        self, assignments: Iterable[Assignment], *, worker: Worker | None
+    ) -> list[Unit]:
+        """Record that all that may have run on a worker is lost; return the units at fault."""
+        there = [assignment for assignment in assignments if assignment.may_have_run]
+        return self.suspects.record(there, worker=worker, fleet=self._fleet) if there else []
+
+    def give_up(self, units: Iterable[Unit], now: float) -> None:
+        """Fail the jobs of units that crash the workers that start them."""
+        for unit in units:
+            job = unit.job
+            if job.closed:
+                continue
+            self.suspects.explain(unit)
+            job.failed = True
+            self._count("jobs_given_up", CRASHES_WORKERS)
+            self._log(
+                "job_failed",
+                job_id=job.job_id,
+                attempts=unit.failures,
+                losses=len(unit.losses),
+                reason=CRASHES_WORKERS,
+            )
+            self.close_job(job, CRASHES_WORKERS, now)
+
+    def _on_losses_changed(self, job: OwnedJob) -> None:
+        self.changed_jobs[job.job_id] = job
+        self.changed = True
+
     def _complete_unit(self, assignment: Assignment, now: float) -> None:
         unit, job = assignment.unit, assignment.unit.job
         self._health.record_success(assignment.worker)
@@ -143,6 +201,7 @@
     def _finish_unit(self, unit: Unit, now: float) -> None:
         job = unit.job
         job.finish_unit(unit)
+        self.suspects.forget(unit)
         if not any(job.open_units) and job.ended_at is None:
             job.ended_at = now
             seconds = now - job.accepted_at
@@ -164,7 +223,13 @@
                 self._log("worker_paused", worker=assignment.worker, reason="fails_what_it_starts")
             if unit.failures >= job.terms.max_attempts and not job.closed:
                 job.failed = True
-                self._log("job_failed", job_id=job.job_id, attempts=unit.failures)
+                self._log(
+                    "job_failed",
+                    job_id=job.job_id,
+                    attempts=unit.failures,
+                    losses=len(unit.losses),
+                    reason="max_attempts",
+                )
                 self.close_job(job, "job_failed", now)
                 return
         if unit.assignments:
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -4,14 +4,26 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from zinniaweir.dispatch.messages import TaskId
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import QueueTerms
-from zinniaweir.workloads.records import AssignmentRecord, JobState, Progress, UnitRecord
+from zinniaweir.workloads.records import (
+    AssignmentRecord,
+    JobState,
+    LossRecord,
+    Progress,
+    UnitRecord,
+)
 from zinniaweir.workloads.spec import StepSpec
 
+LOSSES_TO_ISOLATE: Final = 2
+"""Runs lost with their workers after which a unit runs alone there.
+
+The next loss then tells whether the unit is at fault, and takes nothing else along.
+"""
+
 
 class Demand(NamedTuple):
     """Resources that one task needs on a worker."""
@@ -67,6 +79,11 @@
     started_at: float | None = None
     """When this owner learned that the run has started, in seconds."""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a copy of the start may have taken effect."""
+        return self.inherited or self.started or self.start_unanswered or self.start_in_flight
+
     @property
     def task(self) -> TaskId:
         """Id of the task."""
@@ -93,6 +110,8 @@
     """Checkpoint that the newest run starts from, the same for all members of a gang."""
     failed_workers: set[str] = field(default_factory=set)
     """Workers on which it failed."""
+    losses: tuple[LossRecord, ...] = ()
+    """Runs that were lost with their workers."""
     assignments: dict[int, Assignment] = field(default_factory=dict)
     """Assignments of the newest run that may still be in use, by index."""
     waiting_since: float = 0.0
@@ -111,6 +130,16 @@
         step = self.step = self.job.steps[self.step_number]
         self.demand = Demand(step.cpu_millis, step.memory_mb, step.accelerators)
 
+    @property
+    def isolated(self) -> bool:
+        """Whether nothing else may run on its workers, since it may crash them."""
+        return self.unexplained_losses >= LOSSES_TO_ISOLATE
+
+    @property
+    def unexplained_losses(self) -> int:
+        """Number of runs that were lost with their workers for no other known reason."""
+        return sum(not loss.explained for loss in self.losses)
+
     @property
     def waiting(self) -> bool:
         """Whether it is neither done nor assigned to workers."""
@@ -129,6 +158,7 @@
             self.done,
             self.checkpoint,
             assignments,
+            self.losses,
         )
 
 
@@ -230,6 +260,7 @@
                 for assignment in record.assignments
             }
             unit.run_checkpoint = record.checkpoint
+            unit.losses = record.losses
             if record.done:
                 self.finish_unit(unit)
         self.failed = progress.state == JobState.FAILED
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -208,14 +208,17 @@
         for assignment in list(
             self.dispatcher.assignments_to_stop(now=self.now, retry_after_seconds=0.7)
         ):
-            self.dispatcher.mark_stop_sent(assignment, now=self.now)
-            fake = self.workers[assignment.worker]
-            if fake.silent:
-                self.dispatcher.handle_stop_answer(assignment, acknowledged=False, now=self.now)
-                continue
-            if (assignment.task, assignment.run) in fake.runs:
-                fake.end((assignment.task, assignment.run), RunEnd.STOPPED)
-            self.dispatcher.handle_stop_answer(assignment, acknowledged=True, now=self.now)
+            self.stop(assignment)
+
+    def stop(self, assignment: Assignment) -> None:
+        self.dispatcher.mark_stop_sent(assignment, now=self.now)
+        fake = self.workers[assignment.worker]
+        if fake.silent:
+            self.dispatcher.handle_stop_answer(assignment, acknowledged=False, now=self.now)
+            return
+        if (assignment.task, assignment.run) in fake.runs:
+            fake.end((assignment.task, assignment.run), RunEnd.STOPPED)
+        self.dispatcher.handle_stop_answer(assignment, acknowledged=True, now=self.now)
 
     def run(self, seconds: float) -> None:
         until = self.now + seconds
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -61,6 +61,18 @@
     """Start time of the worker's incarnation, which distinguishes incarnations with one name."""
 
 
+class LossRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A run that was lost with its worker, which it may have crashed."""
+
+    run: int
+    worker: str
+    incarnation: int
+    sole: bool
+    """Whether nothing else can explain the loss: no other unit there, no wider failure."""
+    explained: bool = False
+    """Whether another unit that was there turned out to crash workers."""
+
+
 class UnitRecord(msgspec.Struct, frozen=True, array_like=True):
     """Progress of a unit: one task, or a gang as a whole."""
 
@@ -74,6 +86,8 @@
     checkpoint: str = ""
     assignments: tuple[AssignmentRecord, ...] = ()
     """Assignments of the newest run whose end is not known yet."""
+    losses: tuple[LossRecord, ...] = ()
+    """Runs that were lost with their workers."""
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True, tag="progress", omit_defaults=True):
