dispatch: no start on a worker whose capacity shrank after the placement

Cause: the capacity was checked when a unit was placed; a start that waits for its record, or is repeated, was sent whatever the worker said of itself meanwhile. Change: the capacity is checked again with each copy of a start; one that no longer fits is withdrawn, or, if a copy may have arrived, not repeated. What runs there runs on.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -238,6 +238,9 @@
         if worker is None or assignment.stop_reason or assignment.started:
             return False
         exclusion_reason = self._planner.exclusion_reason(worker, now)
+        if not exclusion_reason and worker.overcommitted:
+            # Its capacity shrank after the assignment was placed.
+            exclusion_reason = "shrunk"
         if exclusion_reason:
             if not assignment.start_unanswered:
                 self._runs.end(assignment, RunEnd.LOST, "", now, cause=f"worker_{exclusion_reason}")
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -94,6 +94,15 @@
         """Whether it is kept for a unit that may crash it."""
         return any(assignment.unit.isolated for assignment in self.assignments.values())
 
+    @property
+    def overcommitted(self) -> bool:
+        """Whether its assignments take more than the capacity that it has left."""
+        return (
+            self.used_cpu > self.entry.cpu_millis
+            or self.used_memory > self.entry.memory_mb
+            or self.used_accelerators > self.entry.accelerators
+        )
+
     @property
     def free_accelerators(self) -> int:
         """Number of accelerators that are not in use."""
