core, scheduler: fail jobs that crash the workers that start them

Cause: the end worker_lost counted neither against the job nor against the worker, and the next owner began anew. Change: workloads/losses.py holds the rule, which the platform's owner uses too (one copy): only losses without another explanation count towards three and four, five end the job if two are unexplained. The core keeps each gang's losses, keeps apart those that were lost together, isolates suspects and fails culprits (crashes_workers). A worker that answers again with tasks or events ran on, and its loss is removed. Ruled out: WORKERS_TO_FAIL_JOB for lost workers: it ends innocent jobs that were lost beside a culprit.

--- a/packages/core/src/zinniaweir/core/decisions.py
+++ b/packages/core/src/zinniaweir/core/decisions.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import Literal, TypeAlias
 
+from zinniaweir.core.losses import WorkerLoss
 from zinniaweir.core.shape import Member
 
 
@@ -37,6 +38,8 @@
     CANCELLED = "cancelled"
     DONE = "done"
     FAILS_EVERYWHERE = "fails_everywhere"
+    CRASHES_WORKERS = "crashes_workers"
+    """Workers were lost under it again and again, and nothing else explains that."""
     MAY_HAVE_RUN = "may_have_run"
     """An attempt of a non-idempotent job ended without a known outcome; it is not run again."""
     EXCEEDS_DECLARATION = "exceeds_declaration"
@@ -125,6 +128,8 @@
     reason: Reason
     checkpointed: bool = False
     done_fraction: float = 0.0
+    losses: tuple[WorkerLoss, ...] = ()
+    """All attempts that were lost with their workers."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/zinniaweir/core/events.py
+++ b/packages/core/src/zinniaweir/core/events.py
@@ -6,6 +6,7 @@
 from typing import Literal, TypeAlias
 
 from zinniaweir.core.job import Job
+from zinniaweir.core.losses import WorkerLoss
 from zinniaweir.core.settings import Settings
 from zinniaweir.core.topology import Topology, Worker
 
@@ -22,6 +23,8 @@
     """Number of attempts so far."""
     done_fraction: float = 0.0
     """Share of the work that the last checkpoint holds, from 0 to 1."""
+    losses: tuple[WorkerLoss, ...] = ()
+    """Attempts that were lost with their workers."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +102,8 @@
     """A worker became live, for the first time or again."""
 
     worker: Worker
+    ran_on: bool = False
+    """Whether it is known to have run on while it could not be reached."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/zinniaweir/core/gangs.py
+++ b/packages/core/src/zinniaweir/core/gangs.py
@@ -9,7 +9,9 @@
 from zinniaweir.core.allocations import Allocation
 from zinniaweir.core.decisions import Reason
 from zinniaweir.core.job import Job
+from zinniaweir.core.losses import WorkerLoss
 from zinniaweir.core.nodes import Slot, Use
+from zinniaweir.workloads.losses import LOSSES_TO_ISOLATE, unexplained_losses
 
 AVOID_SECONDS: Final = 30.0
 """Time after an attempt in which a retry avoids the workers on which the gang failed.
@@ -67,6 +69,8 @@
     failures: int = 0
     """Number of failed attempts on any workers."""
     cancelled: bool = False
+    losses: tuple[WorkerLoss, ...] = ()
+    """Attempts that were lost with their workers."""
 
     def avoided_workers(self, now: float) -> frozenset[str]:
         """Return the workers on which it failed, for a limited time after the last attempt."""
@@ -74,6 +78,15 @@
             return frozenset()
         return frozenset(self.failed_workers)
 
+    @property
+    def isolated(self) -> bool:
+        """Whether nothing else may run on its workers, since it may crash them."""
+        return unexplained_losses(self.losses) >= LOSSES_TO_ISOLATE
+
+    def needs_empty_workers(self, now: float) -> bool:
+        """Return whether it may only start where nothing runs, for a limited time."""
+        return self.isolated and now < self.ready_at + AVOID_SECONDS
+
     @property
     def placed(self) -> bool:
         """Whether it holds capacity."""
--- a/packages/core/src/zinniaweir/core/nodes.py
+++ b/packages/core/src/zinniaweir/core/nodes.py
@@ -71,6 +71,8 @@
     quarantined: bool = False
     probing: bool = False
     """Whether the worker was released from quarantine on probation, with one gang at a time."""
+    exclusive: bool = False
+    """Whether it is kept for a gang that may crash it."""
     domain_in: bool = True
     busy: int = 0
     """Mask of accelerators held by gangs or claimed by a gang that waits for its victims."""
@@ -93,7 +95,7 @@
             self.live
             and self.domain_in
             and not self.quarantined
-            and not (self.probing and self.held)
+            and not ((self.probing or self.exclusive) and self.held)
         )
 
     @property
--- a/packages/core/src/zinniaweir/core/scheduler.py
+++ b/packages/core/src/zinniaweir/core/scheduler.py
@@ -44,6 +44,7 @@
 from zinniaweir.core.fragmentation import Fragmentation, measure_fragmentation
 from zinniaweir.core.gangs import Gang, Phase
 from zinniaweir.core.job import PRIORITIES, Job
+from zinniaweir.core.losses import LossRecords, WorkerLoss
 from zinniaweir.core.nodes import Node, Use
 from zinniaweir.core.plans import StartPlan
 from zinniaweir.core.pool import Pool
@@ -72,6 +73,7 @@
 from zinniaweir.core.topology import Topology
 from zinniaweir.core.usage import UsageMonitor
 from zinniaweir.core.waiting import WaitingQueue
+from zinniaweir.workloads.losses import crashes_workers
 
 MAX_STARTS_PER_CALL: Final = 32
 """Gang starts in one call; the rest waits for the next wake-up, so that a call stays short."""
@@ -111,6 +113,7 @@
         self._domains_out: set[str] = set()
         self._run_times = RunTimes()
         self._quarantine = Quarantine()
+        self._losses = LossRecords()
         self._usage_monitor = UsageMonitor()
         self._timers = Timers()
         self._ramps = Ramps()
@@ -154,6 +157,7 @@
         members: tuple[Member, ...],
         started_at: float,
         done_fraction: float = 0.0,
+        losses: tuple[WorkerLoss, ...] = (),
     ) -> bool:
         """Adopt a gang whose members all run, after another process owned the region.
 
@@ -163,6 +167,7 @@
             members: Where each member runs.
             started_at: When the attempt started, in seconds of `now`.
             done_fraction: Share of the work that an earlier checkpoint holds.
+            losses: Earlier attempts that were lost with their workers.
 
         Returns:
             False if the job is known already, a worker is unknown or an accelerator is in use; the
@@ -178,13 +183,14 @@
             return False
         gang = self._new_gang(job, attempt, done_fraction)
         gang.phase = Phase.RUNNING
+        gang.losses = losses
         gang.started_at = started_at
         gang.slots = slots
         gang.use = Use.RECLAIMABLE if job.reclaimable else Use.NON_RECLAIMABLE
         allocation = self._coverage.assign_allocation(gang)
         if allocation is not None:
             gang.use, gang.allocation = Use.OWNED, allocation
-        self._pool.hold(job.job_id, slots, gang.use)
+        self._hold(gang)
         self._quotas.add(job)
         if gang.use is Use.NON_RECLAIMABLE:
             self._coverage.resolve_conflicts({slot.node for slot in slots})
@@ -310,6 +316,7 @@
         gang.start_reason, gang.end_reason = entry.start_reason, entry.end_reason
         gang.failed_member, gang.cancelled = entry.failed_member, entry.cancelled
         gang.exited, gang.failed_workers = set(entry.exited), set(entry.failed_workers)
+        gang.losses = entry.losses
         if gang.cancelled:
             self._cancelled.append(entry.job.job_id)
         if gang.phase is Phase.WAITING:
@@ -321,7 +328,7 @@
             return
         gang.use = Use.RECLAIMABLE if gang.job.reclaimable else Use.NON_RECLAIMABLE
         gang.slots = self._pool.slots(entry.members, entry.job.shape)
-        self._pool.hold(entry.job.job_id, gang.slots, gang.use)
+        self._hold(gang)
         self._quotas.add(entry.job)
         if entry.limit is not None:
             self._set_limit(gang, entry.limit)
@@ -342,7 +349,9 @@
     def _(self, event: JobArrived) -> None:
         if event.job.job_id in self._gangs:
             return
-        self._enqueue(self._new_gang(event.job, event.attempt, event.done_fraction))
+        gang = self._new_gang(event.job, event.attempt, event.done_fraction)
+        gang.losses = event.losses
+        self._enqueue(gang)
 
     @_apply.register
     def _(self, event: JobCancelled) -> None:
@@ -442,6 +451,8 @@
             self._reconfigure(Topology(workers=(*others, event.worker)), self._settings)
             return
         node = self._pool.nodes[index]
+        if event.ran_on:
+            self._change_losses(lambda gangs: self._losses.clear(event.worker.name, gangs))
         if node.live:
             return
         node.live = True
@@ -457,6 +468,12 @@
         node = self._pool.nodes[index]
         node.live = False
         self._pool.refresh(node)
+        there = [
+            gang
+            for gang in (self._gangs[job_id] for job_id in node.held)
+            if gang.phase is not Phase.CLAIMING and not gang.cancelled
+        ]
+        self._losses.record(event.worker, there, now=self._now)
         self._evacuate([node], Reason.WORKER_LOST)
 
     @_apply.register
@@ -559,6 +576,8 @@
     def _may_preempt(self, gang: Gang) -> bool:
         """Return whether to search for gangs to preempt, and if so postpone the next search."""
         urgent = gang.job.priority == "urgent"
+        if gang.needs_empty_workers(self._now):
+            return False
         if self._now - gang.ready_at < PREEMPT_AFTER_SECONDS and not urgent:
             return False
         if self._now < gang.next_preemption_at:
@@ -588,7 +607,7 @@
         gang.start_reason = plan.reason
         gang.victims = set(plan.victims)
         self._quotas.add(gang.job)
-        self._pool.hold(gang.job.job_id, plan.slots, plan.use)
+        self._hold(gang)
         if plan.allocation is not None:
             numbered = zip(plan.allocation_slots, plan.slots, strict=True)
             plan.allocation.used[gang.job.job_id] = list(numbered)
@@ -676,10 +695,18 @@
         if not gang.cancelled:
             self._waiting.add(gang)
 
+    def _hold(self, gang: Gang) -> None:
+        """Assign a gang's slots to it; the nodes of one that may crash them take no other."""
+        for slot in gang.slots:
+            self._pool.nodes[slot.node].exclusive |= gang.isolated
+        self._pool.hold(gang.job.job_id, gang.slots, gang.use)
+
     def _release(self, gang: Gang) -> None:
         """Release a gang's capacity and start the gangs whose last victim it was."""
         job_id = gang.job.job_id
         slots, use = gang.slots, gang.use
+        for slot in slots:
+            self._pool.nodes[slot.node].exclusive = False
         self._pool.release(job_id, slots)
         self._quotas.remove(gang.job)
         self._usage_monitor.discard(job_id)
@@ -726,6 +753,9 @@
             self._finish(gang, "unknown", Reason.MAY_HAVE_RUN, str(reason))
         elif reason is Reason.EXCEEDS_DECLARATION:
             self._finish(gang, "failed", reason)
+        elif crashes_workers(gang.losses):
+            self._finish(gang, "failed", Reason.CRASHES_WORKERS, f"{len(gang.losses)} lost workers")
+            self._change_losses(lambda gangs: self._losses.explain(gang, gangs))
         else:
             self._requeue(gang, reason)
 
@@ -752,6 +782,7 @@
                 reason=reason,
                 checkpointed=checkpointed,
                 done_fraction=gang.done_fraction,
+                losses=gang.losses,
             )
         )
         self._enqueue(gang)
@@ -863,6 +894,16 @@
             QuarantineWorker(worker=worker, reason=Reason.WORKER_FAILS_ALL, until=until)
         )
 
+    def _change_losses(self, change: Callable[[list[Gang]], None]) -> None:
+        """Change the losses of gangs, which may change the class of those that wait."""
+        gangs = [gang for gang in self._gangs.values() if gang.losses]
+        waiting = [gang for gang in gangs if gang.phase is Phase.WAITING]
+        for gang in waiting:
+            self._waiting.discard(gang)
+        change(gangs)
+        for gang in waiting:
+            self._waiting.add(gang)
+
     def _clear_failure(self, gang: Gang, worker: str) -> None:
         """Remove a gang's failure on a worker that has been quarantined since."""
         waiting = gang.phase is Phase.WAITING
@@ -931,7 +972,7 @@
             if len(kept) < len(members[gang.job.job_id]):
                 lost.append(gang)
             gang.slots = self._pool.slots(kept, gang.job.shape)
-            self._pool.hold(gang.job.job_id, gang.slots, gang.use)
+            self._hold(gang)
         return lost
 
     def _recheck_waiting(self) -> None:
--- a/packages/core/src/zinniaweir/core/snapshot.py
+++ b/packages/core/src/zinniaweir/core/snapshot.py
@@ -10,6 +10,7 @@
 from zinniaweir.core.decisions import Reason
 from zinniaweir.core.gangs import Gang, Phase
 from zinniaweir.core.job import Job
+from zinniaweir.core.losses import WorkerLoss
 from zinniaweir.core.settings import Settings
 from zinniaweir.core.shape import Guarantee, Member
 from zinniaweir.core.topology import Topology
@@ -41,6 +42,7 @@
     exited: list[int] = []
     failed_workers: list[str] = []
     cancelled: bool = False
+    losses: tuple[WorkerLoss, ...] = ()
 
 
 class CoreState(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +83,7 @@
         exited=sorted(gang.exited),
         failed_workers=sorted(gang.failed_workers),
         cancelled=gang.cancelled,
+        losses=gang.losses,
     )
 
 
--- a/packages/core/src/zinniaweir/core/starts.py
+++ b/packages/core/src/zinniaweir/core/starts.py
@@ -7,7 +7,7 @@
 from zinniaweir.core._masks import best_fit_run, runs
 from zinniaweir.core.allocations import Allocation
 from zinniaweir.core.decisions import Reason
-from zinniaweir.core.gangs import Gang
+from zinniaweir.core.gangs import AVOID_SECONDS, Gang
 from zinniaweir.core.job import PRIORITIES
 from zinniaweir.core.nodes import UNLIMITED, Free, Node, Slot, Use
 from zinniaweir.core.placement import Placer
@@ -49,6 +49,10 @@
         """
         self._now = now
         avoided = gang.avoided_workers(now)
+        if gang.needs_empty_workers(now):
+            avoided |= {node.worker.name for node in self._pool.nodes if node.held}
+        if gang.losses and now < gang.ready_at + AVOID_SECONDS:
+            avoided |= self._workers_of_suspects(gang)
         if avoided:
             allowed = self._exclude(avoided, allowed)
         best: StartPlan | None = None
@@ -77,6 +81,19 @@
                 return True
         return False
 
+    def _workers_of_suspects(self, gang: Gang) -> frozenset[str]:
+        """Return the workers of gangs that were lost together with a gang.
+
+        Kept apart, the next loss tells which of them crashes workers.
+        """
+        shared = {(loss.worker, loss.at) for loss in gang.losses}
+        return frozenset(
+            self._pool.nodes[slot.node].worker.name
+            for other in self._gangs.values()
+            if other.losses and any((loss.worker, loss.at) in shared for loss in other.losses)
+            for slot in other.slots
+        )
+
     def _exclude(
         self, avoided: frozenset[str], allowed: Callable[[int], bool] | None
     ) -> Callable[[int], bool]:
--- a/packages/core/src/zinniaweir/core/waiting.py
+++ b/packages/core/src/zinniaweir/core/waiting.py
@@ -15,8 +15,11 @@
 from zinniaweir.core.job import Priority
 from zinniaweir.core.shape import Shape
 
-ClassKey = tuple[str, Priority, Shape, bool, frozenset[str]]
-"""Customer, priority, shape, whether the job is reclaimable, and workers on which it failed."""
+ClassKey = tuple[str, Priority, Shape, bool, frozenset[str], str]
+"""Customer, priority, shape, whether the job is reclaimable, and workers on which it failed.
+
+A job that was lost with a worker is a class of its own, named by its id.
+"""
 
 
 @dataclass(slots=True, eq=False)
@@ -88,7 +91,8 @@
     """Return the key of the class of a job."""
     job = gang.job
     failed = frozenset(gang.failed_workers)
-    return (job.customer, job.priority, job.shape, job.reclaimable, failed)
+    own_class = job.job_id if gang.losses else ""
+    return (job.customer, job.priority, job.shape, job.reclaimable, failed, own_class)
 
 
 def _entry(gang: Gang) -> tuple[float, float, int, str]:
--- a/packages/dispatch/src/zinniaweir/dispatch/crashes.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/crashes.py
@@ -8,6 +8,13 @@
 
 import msgspec
 
+from zinniaweir.workloads.losses import (
+    MAX_RECENT_LOSSES,
+    MIN_MASS_LOSS,
+    SAME_TIME_SECONDS,
+    crashes_workers,
+    unexplained_losses,
+)
 from zinniaweir.workloads.records import LossRecord
 
 if TYPE_CHECKING:
@@ -15,28 +22,10 @@
     from zinniaweir.dispatch.reporting import Reporter
     from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 
-SOLE_LOSSES_TO_GIVE_UP: Final = {3: 2, 4: 1}
-"""By the losses of a unit: how many nothing else can explain, with which it is given up."""
-MAX_LOSSES: Final = 5
-"""Losses with which a unit is given up even if other explanations are possible.
-
-The platform allows two more starts after the third crash under a task.
-"""
-MIN_UNEXPLAINED_LOSSES: Final = 2
-"""A unit with fewer losses that nothing explains is never given up."""
 CULPRIT_FOUND: Final = "culprit_found"
 """Reason for which a loss does not count: a unit that was there too is given up."""
 WORKER_RAN_ON: Final = "worker_ran_on"
 """Reason for which a loss does not count: the worker was cut off, and answers again."""
-SAME_TIME_SECONDS: Final = 2.0
-"""Workers whose last answers are within this time of each other may have one cause.
-
-Idle workers answer polls this seldom.
-"""
-MIN_MASS_LOSS: Final = 2
-"""Number of other workers that are lost at the same time, from which units are not suspected."""
-MAX_RECENT_LOSSES: Final = 64
-"""Number of lost workers that are remembered to recognize those of one time."""
 
 
 class CrashSuspects:
@@ -118,7 +107,7 @@
                 units_there=len(units),
                 lost_at_the_same_time=len(others),
             )
-        return [unit for unit in units if self._is_culprit(unit)]
+        return [unit for unit in units if crashes_workers(unit.losses)]
 
     def clear_worker(self, worker: str, incarnation: int) -> None:
         """Remove the losses on a worker that ran on and answers again."""
@@ -154,13 +143,6 @@
                     workers.update(a.worker for a in other.assignments.values())
         return workers
 
-    def _is_culprit(self, unit: Unit) -> bool:
-        if unit.unexplained_losses < MIN_UNEXPLAINED_LOSSES:
-            return False
-        needed = SOLE_LOSSES_TO_GIVE_UP.get(min(len(unit.losses), MAX_LOSSES - 1))
-        sole = sum(loss.sole for loss in unit.losses)
-        return len(unit.losses) >= MAX_LOSSES or (needed is not None and sole >= needed)
-
     def _lost_at_the_same_time(self, worker: Worker, fleet: Iterable[Worker]) -> set[str]:
         """Return the workers that stopped answering at the same time as a lost one.
 
@@ -189,7 +171,7 @@
             step=unit.step_number,
             first=unit.indexes[0],
             worker=worker,
-            losses=unit.unexplained_losses,
+            losses=unexplained_losses(unit.losses),
             reason=reason,
         )
 
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from zinniaweir.dispatch.messages import TaskId
 from zinniaweir.workloads.job_table import JobEntry
+from zinniaweir.workloads.losses import LOSSES_TO_ISOLATE, unexplained_losses
 from zinniaweir.workloads.queues import QueueTerms
 from zinniaweir.workloads.records import (
     AssignmentRecord,
@@ -18,12 +19,6 @@
 )
 from zinniaweir.workloads.spec import StepSpec
 
-LOSSES_TO_ISOLATE: Final = 2
-"""Runs lost with their workers after which a unit runs alone there.
-
-The next loss then tells whether the unit is at fault, and takes nothing else along.
-"""
-
 
 class Demand(NamedTuple):
     """Resources that one task needs on a worker."""
@@ -133,12 +128,7 @@
     @property
     def isolated(self) -> bool:
         """Whether nothing else may run on its workers, since it may crash them."""
-        return self.unexplained_losses >= LOSSES_TO_ISOLATE
-
-    @property
-    def unexplained_losses(self) -> int:
-        """Number of runs that were lost with their workers for no other known reason."""
-        return sum(not loss.explained for loss in self.losses)
+        return unexplained_losses(self.losses) >= LOSSES_TO_ISOLATE
 
     @property
     def waiting(self) -> bool:
--- a/packages/scheduler/src/zinniaweir/scheduler/core_inputs.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/core_inputs.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
 from typing import TYPE_CHECKING, Final
 
 from zinniaweir.core.guarantees import check_guarantees
 from zinniaweir.core.job import Job
+from zinniaweir.core.losses import WorkerLoss
 from zinniaweir.core.settings import Customer, Policy
 from zinniaweir.core.settings import Settings as CoreSettings
 from zinniaweir.core.shape import Guarantee, Member, Shape
 from zinniaweir.core.topology import Topology, Worker
 from zinniaweir.scheduler.leases import LeaseSettings
 from zinniaweir.wire.records import Member as RecordMember
+from zinniaweir.wire.records import WorkerLoss as RecordLoss
 from zinniaweir.wire.scheduler_service import Problem
 
 if TYPE_CHECKING:
@@ -125,6 +128,50 @@
     )
 
 
+def recorded_losses(losses: Iterable[WorkerLoss]) -> tuple[RecordLoss, ...]:
+    """Return the losses of a gang in the form of log records."""
+    return tuple(
+        RecordLoss(
+            attempt=loss.attempt,
+            worker=loss.worker,
+            at=loss.at,
+            sole=loss.sole,
+            explained=loss.explained,
+        )
+        for loss in losses
+    )
+
+
+def core_losses(losses: Iterable[RecordLoss]) -> tuple[WorkerLoss, ...]:
+    """Return recorded losses in the form that the core uses."""
+    return tuple(
+        WorkerLoss(
+            attempt=loss.attempt,
+            worker=loss.worker,
+            at=loss.at,
+            sole=loss.sole,
+            explained=loss.explained,
+        )
+        for loss in losses
+    )
+
+
+def losses_at_takeover(
+    job: JobEntry, unreachable: Collection[str], now: float
+) -> tuple[RecordLoss, ...]:
+    """Return the losses of a job whose attempt could not be adopted.
+
+    Args:
+        job: The job, whose attempt was placed by a previous owner.
+        unreachable: Workers that did not answer the new owner; it cannot know who else was there.
+        now: Current time in seconds.
+    """
+    lost = [member.worker for member in job.members if member.worker in unreachable]
+    if not lost or any(loss.attempt == job.attempt for loss in job.losses):
+        return job.losses
+    return (*job.losses, RecordLoss(attempt=job.attempt, worker=lost[0], at=now, sole=False))
+
+
 def choose_region(settings: Settings, spec: JobSpec, local_region: str) -> str:
     """Return the region that schedules a job.
 
--- a/packages/scheduler/src/zinniaweir/scheduler/jobs.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/jobs.py
@@ -20,6 +20,7 @@
     JobSubmitted,
     Member,
     Record,
+    WorkerLoss,
 )
 from zinniaweir.wire.scheduler_service import JobView, WhyEntry
 
@@ -93,6 +94,8 @@
     """Time of the end in seconds, 0 before it."""
     done_fraction: float = 0.0
     """Largest share of the work that a checkpoint holds."""
+    losses: tuple[WorkerLoss, ...] = ()
+    """Attempts that were lost with their workers."""
     has_run: bool = False
     """Whether a placement was recorded, so that an attempt may have started."""
     cancel_requested: bool = False
@@ -297,6 +300,8 @@
         job.reason = body.reason
         job.members = ()
         job.done_fraction = max(job.done_fraction, body.done_fraction)
+        # An owner that did not see the losses, or an earlier version, records none.
+        job.losses = body.losses or job.losses
         _append_history(job, offset, record, "requeued", body.reason)
         return [job]
 
--- a/packages/scheduler/src/zinniaweir/scheduler/owner_records.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/owner_records.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
-from zinniaweir.wire.records import JobFinished, JobRequeued
+from zinniaweir.wire.records import JobFinished, JobRequeued, WorkerLoss
 
 if TYPE_CHECKING:
     from zinniaweir.scheduler.gangs import GangRunner
@@ -67,6 +67,7 @@
         attempt: int | None = None,
         checkpointed: bool = False,
         done_fraction: float = 0.0,
+        losses: tuple[WorkerLoss, ...] = (),
     ) -> None:
         """Record that a job returns to the queue.
 
@@ -76,6 +77,7 @@
             attempt: The attempt that ended; by default the job's recorded attempt.
             checkpointed: Whether the attempt left a checkpoint.
             done_fraction: Share of the work that the checkpoint holds.
+            losses: All attempts of the job that were lost with their workers.
         """
         self._counters.add("requeues", reason=reason.partition(":")[0])
         self._queue.put_nowait(
@@ -87,6 +89,7 @@
                 reason=reason,
                 checkpointed=checkpointed,
                 done_fraction=done_fraction,
+                losses=losses,
             )
         )
 
--- a/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
@@ -39,6 +39,7 @@
     from zinniaweir.settings.model import Settings
     from zinniaweir.telemetry.counters import Counters
     from zinniaweir.telemetry.timers import Timers
+    from zinniaweir.wire.records import WorkerLoss
     from zinniaweir.wire.worker_service import WorkerEvent
 
 MAX_WAIT_SECONDS: Final = 5.0
@@ -164,20 +165,25 @@
     def _adopt_jobs(self, inventory: WorkerInventory) -> None:
         adopted = set()
         waiting: list[JobEntry] = []
+        losses: dict[str, tuple[WorkerLoss, ...]] = {}
         for job in self._state.jobs.active(self.region):
             key = (job.job_id, job.attempt)
             reported = inventory.gangs.get(key, ReportedGang())
             if job.state in ("starting", "running") and self._adopt_gang(job, reported):
                 adopted.add(key)
             elif job.state in ("starting", "running"):
-                self._end_lost_attempt(job, waiting)
+                losses[job.job_id] = core_inputs.losses_at_takeover(
+                    job, inventory.unreachable, self._now
+                )
+                if self._end_lost_attempt(job, losses[job.job_id]):
+                    waiting.append(job)
             else:
                 waiting.append(job)
         for key, reported in inventory.gangs.items():
             if key not in adopted and reported.tasks:
                 self._stop_orphan_gang(key, reported.workers)
         for job in waiting:
-            self._enqueue(job)
+            self._enqueue(job, losses.get(job.job_id, job.losses))
         cancelled = [j.job_id for j in self._state.jobs.active(self.region) if j.cancel_requested]
         if cancelled:
             self._handle_event(events.JobCancelled(job_ids=tuple(cancelled)))
@@ -198,6 +204,7 @@
             members=core_inputs.core_members(job.members),
             started_at=job.started_at or self._now,
             done_fraction=job.done_fraction,
+            losses=core_inputs.core_losses(job.losses),
         )
         if not adopted:
             return False
@@ -211,14 +218,19 @@
             self._on_worker_event(event)
         return True
 
-    def _end_lost_attempt(self, job: JobEntry, waiting: list[JobEntry]) -> None:
-        """End an attempt that cannot be adopted; requeue the job if it is idempotent."""
+    def _end_lost_attempt(self, job: JobEntry, losses: tuple[WorkerLoss, ...]) -> bool:
+        """End an attempt that cannot be adopted; return whether its job waits again.
+
+        Args:
+            job: The job; it is requeued if it is idempotent.
+            losses: All attempts of the job that were lost with their workers.
+        """
         self._counters.add("gangs_lost_at_takeover")
         if not job.spec.idempotent:
             self._records.finish(job.job_id, "unknown", "owner_changed")
-            return
-        self._records.requeue(job, "owner_changed", done_fraction=job.done_fraction)
-        waiting.append(job)
+            return False
+        self._records.requeue(job, "owner_changed", done_fraction=job.done_fraction, losses=losses)
+        return True
 
     def _stop_orphan_gang(self, key: tuple[str, int], workers: tuple[str, ...]) -> None:
         self._counters.add("remnants_stopped")
@@ -328,7 +340,7 @@
             if job.cancel_requested:
                 cancelled.append(job.job_id)
             elif job.state == "waiting" and not job.attempt:
-                self._enqueue(job)
+                self._enqueue(job, job.losses)
         if cancelled:
             self._handle_event(events.JobCancelled(job_ids=tuple(cancelled)))
 
@@ -419,6 +431,7 @@
                 attempt=decision.attempt,
                 checkpointed=decision.checkpointed,
                 done_fraction=decision.done_fraction,
+                losses=core_inputs.recorded_losses(decision.losses),
             )
         gang = self._gangs.get((decision.job_id, decision.attempt))
         if gang is not None:
@@ -472,11 +485,15 @@
         link = self._links.get(name)
         if link is None:
             return
+        ran_on = False
         with contextlib.suppress(Exception):
-            for task in (await link.list()).tasks:
+            tasks = (await link.list()).tasks
+            # A worker that restarted has neither tasks nor events.
+            ran_on = bool(tasks or await link.retained_events())
+            for task in tasks:
                 if (task.job_id, task.attempt) not in self._gangs:
                     await self._runner.stop_on((task.job_id, task.attempt), (name,))
-        self._inbox.put_nowait(events.WorkerJoined(worker=worker))
+        self._inbox.put_nowait(events.WorkerJoined(worker=worker, ran_on=ran_on))
 
     def _start_refusal(self, gang: Gang) -> str:
         """Return why a gang must not start now, or an empty string if it may."""
@@ -570,12 +587,13 @@
         if task is not None:
             task.cancel()
 
-    def _enqueue(self, job: JobEntry) -> None:
+    def _enqueue(self, job: JobEntry, losses: tuple[WorkerLoss, ...]) -> None:
         self._handle_event(
             events.JobArrived(
                 job=core_inputs.core_job(job),
                 attempt=job.attempt,
                 done_fraction=job.done_fraction,
+                losses=core_inputs.core_losses(losses),
             )
         )
 
--- a/packages/scheduler/tests/test_region_owner.py
+++ b/packages/scheduler/tests/test_region_owner.py
@@ -9,6 +9,7 @@
 import pytest
 
 from zinniaweir.journal.journal import Published, PublishError
+from zinniaweir.scheduler import core_inputs
 from zinniaweir.scheduler import region_owner as module
 from zinniaweir.scheduler.core_inputs import guarantee_problems
 from zinniaweir.scheduler.region_owner import RegionOwner
@@ -20,6 +21,7 @@
     StaleEpochError,
     WorkerReachable,
     WorkerReport,
+    WorkerUnreachable,
     WorkerUnreachableError,
 )
 from zinniaweir.telemetry.counters import Counters
@@ -63,6 +65,7 @@
         self.worker = worker
         self.address = (host, port)
         self._post = post
+        self.events: list[WorkerEvent] = []
         self.harness = OwnerHarness.current
         self.harness.links[worker] = self
 
@@ -76,7 +79,7 @@
         return fault or ""
 
     async def retained_events(self) -> list[WorkerEvent]:
-        return []
+        return self.events
 
     async def list(self) -> ListReply:
         return ListReply(ok=True)
@@ -447,3 +450,63 @@
         assert "only just in force" in reply.reason
 
     asyncio.run(run())
+
+
+def crash(harness: OwnerHarness) -> None:
+    """Let the worker of the job restart: it cannot be reached, then answers without its tasks."""
+    link = harness.links[harness.job().members[0].worker]
+    link._post(WorkerUnreachable(worker=link.worker))
+    link._post(WorkerReachable(worker=link.worker))
+
+
+def test_job_that_crashes_its_workers_is_failed() -> None:
+    """Guards against BUDGET: a job that is requeued each time it has crashed its worker."""
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit(members=1)
+        for attempt in range(1, 4):
+            await harness.until(lambda n=attempt: running(harness) and harness.job().attempt == n)
+            crash(harness)
+        await harness.until(lambda: harness.job().is_ended)
+        assert harness.job().state == "failed"
+        assert harness.job().reason.startswith("crashes_workers")
+
+    run_scenario(scenario)
+
+
+def test_losses_reach_the_next_owner_by_the_log() -> None:
+    """Guards against an owner that grants a deadly job the same number of starts again."""
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit(members=1)
+        for attempt in range(1, 3):
+            await harness.until(lambda n=attempt: running(harness) and harness.job().attempt == n)
+            crash(harness)
+        await harness.until(lambda: running(harness) and harness.job().attempt == 3)
+        assert [loss.attempt for loss in harness.job().losses] == [1, 2]
+        restored = ClusterState(check_guarantees=guarantee_problems)
+        restored.restore(harness.state.snapshot())
+        job = restored.jobs.get("j")
+        assert job.losses == harness.job().losses
+        lost = core_inputs.losses_at_takeover(job, {job.members[0].worker}, time.time())
+        assert [loss.attempt for loss in lost] == [1, 2, 3]
+
+    run_scenario(scenario)
+
+
+def test_worker_that_ran_on_does_not_count_against_its_job() -> None:
+    """Guards against a job that is failed since the link to its workers was cut."""
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit(members=1)
+        for attempt in range(1, 6):
+            await harness.until(lambda n=attempt: running(harness) and harness.job().attempt == n)
+            member = harness.job().members[0]
+            event = WorkerEvent(
+                sequence=1, kind="lease_lapsed", job_id="j", attempt=attempt, member=0
+            )
+            harness.links[member.worker].events = [event]
+            crash(harness)
+        await harness.until(lambda: running(harness) and harness.job().attempt == 6)
+
+    run_scenario(scenario)
--- a/packages/wire/src/zinniaweir/wire/records.py
+++ b/packages/wire/src/zinniaweir/wire/records.py
@@ -122,6 +122,19 @@
     """Wall-clock time in seconds."""
 
 
+class WorkerLoss(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An attempt that was lost with a worker, which it may have crashed."""
+
+    attempt: int
+    worker: str
+    at: float
+    """Time of the loss in seconds; with the worker, it identifies the loss among jobs."""
+    sole: bool
+    """Whether nothing else can explain the loss: no other job there, no wider failure."""
+    explained: bool = False
+    """Whether another job that was there turned out to crash workers."""
+
+
 class JobRequeued(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """End of an attempt after which the job waits again."""
 
@@ -133,6 +146,8 @@
     checkpointed: bool = False
     done_fraction: float = 0.0
     """Fraction of the work that the checkpoint holds."""
+    losses: tuple[WorkerLoss, ...] = ()
+    """All attempts of the job so far that were lost with their workers."""
 
 
 class JobFinished(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/workloads/src/zinniaweir/workloads/__init__.py
+++ b/packages/workloads/src/zinniaweir/workloads/__init__.py
@@ -1,1 +1,1 @@
-"""Jobs of several steps: their specification, their records in the log and the job table."""
+"""Jobs of several steps: specification, records in the log, job table, losses of workers."""
