routing: a hedge does not hide that an attempt was lost

Cause: of a hedged attempt only the outcome that came last counted. A loss that was followed by `busy` from the hedge's upstream counted as no failure, and two losses of one round as one. Change: every lost attempt counts, when it is lost; a loss decides over an answer that did not run the request. Looked at without a finding: membership (no runs, no retries of work), limits. The platform's program has no router.

--- a/packages/routing/src/zinniaweir/routing/call.py
+++ b/packages/routing/src/zinniaweir/routing/call.py
@@ -28,6 +28,13 @@
         """Why the answer of an attempt that may have run was lost; empty if there is none."""
         self._deadline = started_at + request.deadline_seconds
 
+    def record_failure(self, attempt: AttemptResult) -> None:
+        """Record an attempt that was lost or did not reach its upstream."""
+        self.failures += 1
+        self.tried_upstreams.add(attempt.upstream)
+        if attempt.outcome == "lost":
+            self.lost_reason = attempt.reason
+
     def remaining(self) -> float:
         """Return the time in seconds left until the caller's deadline."""
         return self._deadline - _now()
--- a/packages/routing/src/zinniaweir/routing/router.py
+++ b/packages/routing/src/zinniaweir/routing/router.py
@@ -188,12 +188,10 @@
         if attempt.outcome in ("busy", "leaving"):
             self.counters.add("retries", reason=attempt.outcome)
             return None
-        call.tried_upstreams.add(attempt.upstream)
-        call.failures += 1
-        if attempt.outcome == "lost":
-            call.lost_reason = attempt.reason
-            if not call.request.idempotent:
-                return call.unanswered_result(attempt.reason)
+        if attempt.outcome != "lost":
+            call.record_failure(attempt)
+        elif not call.request.idempotent:
+            return call.unanswered_result(attempt.reason)
         if call.remaining() < self._policy.min_attempt_seconds:
             return call.unanswered_result("deadline")
         if call.failures >= self._policy.max_failed_attempts:
@@ -287,21 +285,22 @@
     """Return the first `done` or `failed` result, or else a result of the last attempts to end.
 
     The attempt that loses keeps its slot until it ends, because its upstream may still be working
-    on it; its answer is dropped.
+    on it; its answer is dropped. Every lost attempt counts, whatever the others answer.
     """
+    lost: list[AttemptResult] = []
     while True:
         done, pending = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
         results = [task.result() for task in done]
         running.intersection_update(pending)
         for result in results:
             if result.outcome == "lost":
-                call.lost_reason = result.reason
+                call.record_failure(result)
+                lost.append(result)
         for result in results:
             if result.outcome in ("done", "failed"):
                 return result
         if not pending:
-            lost = [result for result in results if result.outcome == "lost"]
-            return (lost or results)[0]
+            return (lost or results)[-1]
 
 
 def _now() -> float:
--- a/packages/routing/tests/test_router.py
+++ b/packages/routing/tests/test_router.py
@@ -366,6 +366,37 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("hedge_answer", ["busy", SendError(reason="broken")])
+def test_hedges_do_not_hide_the_losses_of_a_request(hedge_answer) -> None:
+    """Guards against BUDGET: a request that crashes upstream after upstream.
+
+    Losses counted only if no other attempt of the same round ended after them.
+    """
+
+    async def scenario() -> None:
+        crashes = 0
+
+        def behave(_, number):
+            nonlocal crashes
+            if number <= 40:
+                return answer_after(0.01, "done")
+            if number % 2 or hedge_answer != "busy":
+                crashes += 1
+                return answer_after(0.05, SendError(reason="broken"))
+            return answer_after(0.1, hedge_answer)
+
+        transport = FakeTransport(behave)
+        router = make_router(transport, hedge_reserve=100, retry_reserve=100, eject_failures=10**9)
+        for _ in range(40):
+            await router.send(request())
+        result = await router.send(request(idempotent=True, deadline=10.0))
+        assert (result.state, result.reason) == ("unknown", "broken")
+        assert router.counters.value("hedges", reason="slow") > 0
+        assert crashes <= RoutingPolicy().max_failed_attempts + 1
+
+    run(scenario)
+
+
 def test_not_mine_falls_through_and_a_timeout_does_not() -> None:
     """A request must not run at the legacy service after the new service may have run it."""
     services = {
