dispatch: repeated stops do not delay the proof that a run has ended

Cause: a run that is missing from a list asked for after its stop was acknowledged has ended; the stop is repeated each 0.7 s, each acknowledgement moved that time, and polls of 0.7 s fell into step with the stops. Change: the first acknowledgement counts, as it does for orphan runs. Tests of dispatch and node pass.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -334,7 +334,8 @@
         After an acknowledged stop the worker rejects every start of the run.
         """
         assignment.stop_in_flight = False
-        if acknowledged:
+        # Stops are repeated until the run is gone from a list that was asked for after the first.
+        if acknowledged and assignment.settled_at is None:
             assignment.settled_at = now
 
     def assignments_to_start(
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from zinniaweir.dispatch.messages import RunEnd, StartAnswer
+from zinniaweir.dispatch.messages import Listing, RunEnd, StartAnswer
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import OwnedJob
 from zinniaweir.workloads.job_table import JobEntry
@@ -422,6 +422,35 @@
     assert len(runs) <= 1
 
 
+def test_stops_that_are_repeated_between_polls_do_not_delay_the_end(cluster: Cluster) -> None:
+    """Guards against LOST: a unit that is never placed again, since its stop does not end.
+
+    Each acknowledgement came after the poll in progress had been sent, and replaced the one before.
+    """
+    cluster.add(job("j1"))
+    cluster.dispatcher.update_workers([f.entry for f in cluster.workers.values()], now=cluster.now)
+    cluster.dispatcher.update_view_time(cluster.now, jobs_read_at=cluster.now)
+    cluster.poll()
+    cluster.dispatcher.plan(now=cluster.now)
+    cluster.record_changes()
+    (assignment,) = cluster.assignments("j1")
+    assert cluster.dispatcher.prepare_start(assignment, now=cluster.now)
+    cluster.dispatcher.handle_start_answer(assignment, StartAnswer.UNKNOWN, now=cluster.now)
+    cluster.dispatcher.cancel_job("j1", now=cluster.now)
+    worker = cluster.dispatcher.fleet.get(assignment.worker)
+    assert worker is not None
+    for _ in range(3):
+        poll_sent_at = cluster.now
+        cluster.now += 0.01
+        cluster.stop(assignment)
+        cluster.now += 0.7
+        listing = Listing(incarnation=1, clock_ms=int(cluster.now * 1e3), running=(), ended=())
+        cluster.dispatcher.handle_listing(
+            worker, listing, poll_sent_at=poll_sent_at, renewed=True, now=cluster.now
+        )
+    assert list(cluster.assignments("j1")) == []
+
+
 def test_task_that_ended_while_its_start_was_unanswered_is_not_run_again(cluster: Cluster) -> None:
     """Guards against a second run of a task that was done while the answers to its start were lost.
 
