--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -10,7 +10,7 @@
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.spec import StepSpec
 
-from .conftest import Cluster, FakeRun, job, worker_entry
+from .conftest import Cluster, FakeRun, FakeWorker, job, worker_entry
 
 
 def test_a_job_runs_through_its_steps_in_order(cluster: Cluster) -> None:
@@ -343,6 +343,29 @@
     assert [a.run for a in cluster.assignments("j1")] == [2]
 
 
+def test_start_that_reaches_a_restarted_worker_ends_before_its_task_runs_elsewhere() -> None:
+    """Guards against a task that runs twice because its worker restarted under the same name.
+
+    Its start was under way at the restart and is carried out by the new incarnation.
+    """
+    cluster = Cluster(worker_entry("w1"))
+    cluster.seconds = 30.0
+    cluster.add(job("j1"))
+    cluster.tick()
+    (assignment,) = cluster.assignments("j1")
+    assignment.started, assignment.start_in_flight = False, True
+    cluster.workers["w1"].entry = worker_entry("w1", incarnation=2)
+    cluster.workers["w2"] = FakeWorker(worker_entry("w2"))
+    for _ in range(20):
+        cluster.tick()
+        assert sum(len(fake.runs) for fake in cluster.workers.values()) <= 1
+        for worker, task, run in list(
+            cluster.dispatcher.orphan_runs_to_stop(now=cluster.now, retry_after_seconds=0.7)
+        ):
+            cluster.workers[worker.name].end((task, run), RunEnd.STOPPED)
+            cluster.dispatcher.mark_orphan_run_stopped(worker, task, run, now=cluster.now)
+
+
 def test_ended_job_is_removed_after_its_retention(cluster: Cluster) -> None:
     """Guards against records of ended jobs that accumulate in the log."""
     cluster.add(job("j1"))
