--- a/packages/wire/tests/test_service.py
+++ b/packages/wire/tests/test_service.py
@@ -50,9 +50,11 @@
     port: int, relay_answers: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable]
 ) -> AsyncIterator[int]:
     """Forward requests to a port, and answers through a callable that may break them."""
+    writers: list[asyncio.StreamWriter] = []
 
     async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         up_reader, up_writer = await asyncio.open_connection("127.0.0.1", port)
+        writers.extend((writer, up_writer))
 
         async def forward() -> None:
             while data := await reader.read(4096):
@@ -66,6 +68,9 @@
         yield server.sockets[0].getsockname()[1]
     finally:
         server.close()
+        # Finalizers that run after the loop is closed fail in whatever test runs then.
+        for writer in writers:
+            writer.close()
 
 
 @asynccontextmanager
