core, scheduler: work that was placed on a silent worker is not suspected

Cause, of: each of these losses counted against the attempt that had just been placed on the next lost worker, so three sole losses of one moment failed an innocent job. That this is what the scenario met is inferred from its log (three attempts withdrawn within 4 ms). Change: WorkerLost tells for how long the worker was silent; what was placed since does not count. An answer to any call counts as an answer. Of many workers that are lost one after the other at one time, all losses are shared. Evidence: test_job_that_is_placed_on_silent_workers_is_not_suspected and test_losses_of_one_time_are_shared_by_all_that_was_lost fail before, the first also without the rule alone.

--- a/packages/core/src/zinniaweir/core/events.py
+++ b/packages/core/src/zinniaweir/core/events.py
@@ -111,6 +111,8 @@
     """A worker ended or cannot be reached."""
 
     worker: str
+    silent_seconds: float = 0.0
+    """For how long it has not answered; work that was placed meanwhile is not suspected."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/zinniaweir/core/gangs.py
+++ b/packages/core/src/zinniaweir/core/gangs.py
@@ -48,6 +48,8 @@
     use: Use = Use.RECLAIMABLE
     allocation: Allocation | None = None
     start_reason: Reason = Reason.FREE_CAPACITY
+    placed_at: float = 0.0
+    """When the current attempt was placed."""
     started_at: float = 0.0
     ready_at: float = 0.0
     """Since when it waits: the time of arrival or of the end of the last attempt."""
--- a/packages/core/src/zinniaweir/core/losses.py
+++ b/packages/core/src/zinniaweir/core/losses.py
@@ -31,13 +31,16 @@
     def __init__(self) -> None:
         self._recent: deque[tuple[str, float]] = deque(maxlen=MAX_RECENT_LOSSES)
 
-    def record(self, worker: str, gangs: Sequence[Gang], *, now: float) -> None:
+    def record(self, worker: str, gangs: Sequence[Gang], *, now: float) -> bool:
         """Record that a worker is lost.
 
         Args:
             worker: The worker.
             gangs: The gangs of which a member may have run there.
             now: Current time in seconds.
+
+        Returns:
+            Whether so many workers are lost at the same time that a wider failure explains it.
         """
         others = {
             name for name, at in self._recent if name != worker and now - at <= SAME_TIME_SECONDS
@@ -51,6 +54,15 @@
             if all(loss.attempt != gang.attempt for loss in gang.losses):
                 loss = WorkerLoss(attempt=gang.attempt, worker=worker, at=now, sole=sole)
                 gang.losses = (*gang.losses, loss)
+        return len(others) >= MIN_MASS_LOSS
+
+    def mark_shared(self, gangs: Iterable[Gang], *, now: float) -> None:
+        """Mark the losses of this time as shared, since workers are lost one after the other."""
+        for gang in gangs:
+            gang.losses = tuple(
+                replace(loss, sole=False) if now - loss.at <= SAME_TIME_SECONDS else loss
+                for loss in gang.losses
+            )
 
     def clear(self, worker: str, gangs: Iterable[Gang]) -> None:
         """Remove the newest losses on a worker that ran on and answers again."""
--- a/packages/core/src/zinniaweir/core/scheduler.py
+++ b/packages/core/src/zinniaweir/core/scheduler.py
@@ -471,9 +471,12 @@
         there = [
             gang
             for gang in (self._gangs[job_id] for job_id in node.held)
-            if gang.phase is not Phase.CLAIMING and not gang.cancelled
+            if gang.phase is not Phase.CLAIMING
+            and not gang.cancelled
+            and gang.placed_at <= self._now - event.silent_seconds
         ]
-        self._losses.record(event.worker, there, now=self._now)
+        if self._losses.record(event.worker, there, now=self._now):
+            self._change_losses(lambda gangs: self._losses.mark_shared(gangs, now=self._now))
         self._evacuate([node], Reason.WORKER_LOST)
 
     @_apply.register
@@ -625,6 +628,7 @@
 
     def _start(self, gang: Gang) -> None:
         gang.phase = Phase.STARTING
+        gang.placed_at = self._now
         gang.attempt += 1
         gang.exited.clear()
         gang.failed_member = None
--- a/packages/core/tests/test_losses.py
+++ b/packages/core/tests/test_losses.py
@@ -139,6 +139,40 @@
     assert {region.ended.get(job_id) for job_id in good} == {"done: done"}
 
 
+def test_job_that_is_placed_on_silent_workers_is_not_suspected() -> None:
+    """Guards against a job that is failed since its owner was paused.
+
+    Worker after worker was found lost within a millisecond, each with the job's next attempt.
+    """
+    region = Region()
+    region.submit(new_job("innocent", members=2, accelerators=8))
+    region.run(3.0)
+    for _ in range(4):
+        for worker in sorted(region.running["innocent"][1]):
+            region.send(e.WorkerLost(worker=worker, silent_seconds=2.0))
+            region.now += 0.001
+        for name in WORKERS:
+            region.send(e.WorkerJoined(worker=WORKERS[name]))
+    assert "innocent" not in region.ended
+
+
+def test_losses_of_one_time_are_shared_by_all_that_was_lost() -> None:
+    """Guards against a first loss of many that counts as its only job's fault."""
+    region = Region()
+    for number in range(4):
+        region.submit(new_job(f"j{number}", accelerators=8))
+    region.run(2.0)
+    for job_id in ("j0", "j1", "j2", "j3"):
+        (worker,) = region.running[job_id][1]
+        region.crash(worker)
+    region.run(1.0)
+    losses = [loss for job in region.requeued.values() for loss in job.losses]
+    assert len(losses) == 4
+    assert [loss.sole for gang in region.core._gangs.values() for loss in gang.losses] == [
+        False
+    ] * 4
+
+
 def test_next_owner_knows_the_losses() -> None:
     """Guards against an owner that grants a deadly job the same number of starts again."""
     region = Region()
--- a/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
@@ -290,8 +290,11 @@
             raise StaleEpochError
         if message.reason == "unreachable" and message.worker in self._links:
             # Otherwise the core would place the job on the same worker again at once.
-            self._links[message.worker].mark_unreachable()
-            self._handle_event(events.WorkerLost(worker=message.worker))
+            link = self._links[message.worker]
+            link.mark_unreachable()
+            self._handle_event(
+                events.WorkerLost(worker=message.worker, silent_seconds=link.silent_seconds)
+            )
         faulty_worker = message.worker if message.reason in WORKER_FAULT_REASONS else None
         self._handle_event(
             events.GangStartFailed(
@@ -321,7 +324,9 @@
 
     @_on_message.register
     def _(self, message: WorkerUnreachable) -> None:
-        self._handle_event(events.WorkerLost(worker=message.worker))
+        self._handle_event(
+            events.WorkerLost(worker=message.worker, silent_seconds=message.silent_seconds)
+        )
 
     @_on_message.register
     def _(self, message: WorkerReachable) -> None:
--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -63,6 +63,8 @@
     """A worker counts as lost."""
 
     worker: str
+    silent_seconds: float = 0.0
+    """For how long it has not answered."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -109,11 +111,16 @@
         self._answered_at = time.monotonic()
         self._gang_added = asyncio.Event()
 
+    @property
+    def silent_seconds(self) -> float:
+        """For how long the worker has not answered."""
+        return time.monotonic() - self._answered_at
+
     def mark_unreachable(self) -> None:
         """Report the worker as unreachable until it answers again."""
         if self._reachable:
             self._reachable = False
-            self._post(WorkerUnreachable(worker=self.worker))
+            self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
 
     def start_renewing(self, job_id: str, attempt: int) -> None:
         """Include a gang in lease renewals, starting at once."""
@@ -233,7 +240,7 @@
             log("worker_restarted", worker=self.worker)
             self._sequence = 0
             self._reachable = False
-            self._post(WorkerUnreachable(worker=self.worker))
+            self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
         return True
 
     def _on_reply(self, reply: Any) -> None:
@@ -251,8 +258,7 @@
 
     def _on_call_failure(self, error: WorkerUnreachableError) -> None:
         self._call_failed = True
-        silent_seconds = time.monotonic() - self._answered_at
-        if self._reachable and silent_seconds > LOST_AFTER_SECONDS:
+        if self._reachable and self.silent_seconds > LOST_AFTER_SECONDS:
             log("worker_unreachable", worker=self.worker, reason=str(error))
             self.mark_unreachable()
 
@@ -263,6 +269,7 @@
             raise WorkerUnreachableError(
                 worker=self.worker, reason=str(error), is_unsent=error.is_unsent
             ) from error
+        self._answered_at = time.monotonic()
         if reply.refusal == "stale_epoch":
             raise StaleEpochError
         return reply
--- a/packages/scheduler/tests/test_region_owner.py
+++ b/packages/scheduler/tests/test_region_owner.py
@@ -65,6 +65,7 @@
         self.worker = worker
         self.address = (host, port)
         self._post = post
+        self.silent_seconds = 0.0
         self.events: list[WorkerEvent] = []
         self.harness = OwnerHarness.current
         self.harness.links[worker] = self
