--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -140,9 +140,9 @@
             rank: The rank of its job.
             covered: Whether its job is covered by its customer's guarantee.
         """
-        # Reserved workers are open to some units and closed to others with the same demand.
         if self._waits_for_sibling(unit):
             return
+        # Reserved workers are open to some units and closed to others with the same demand.
         placement_key = (*_placement_key(unit), unit.job.job_id if self._reservations else "")
         if placement_key in self._unplaceable:
             return
