--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -15,6 +15,8 @@
 GANG_MS: Final = 3_000
 STOP_MS: Final = 300
 HEARTBEAT_SECONDS: Final = 1.5
+EXPIRY_SECONDS: Final = 3 * HEARTBEAT_SECONDS
+"""Silence after which the platform removes a runner's entry."""
 TICK_SECONDS: Final = 0.02
 ENDS_PER_LISTING: Final = 500
 
@@ -272,7 +274,9 @@
     life: Life | None = None
     _server: Server | None = None
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
-    _last_write: float = 0.0
+    _watch: asyncio.Task[None] | None = None
+    _written_at: float | None = None
+    """When its entry was last written, None if there is none."""
 
     async def start(self) -> None:
         """Start a life of the runner."""
@@ -282,6 +286,8 @@
         self.ledger.write("runner_up", machine=self.name, born=self.life.born)
         await self.heartbeat()
         self._tasks = [asyncio.create_task(self._tick()), asyncio.create_task(self._beat())]
+        if self._watch is None:
+            self._watch = asyncio.create_task(self._expire())
 
     def crash(self) -> None:
         """End the present life without a word."""
@@ -294,6 +300,8 @@
     def close(self) -> None:
         """End everything."""
         self._stop_tasks()
+        if self._watch is not None:
+            self._watch.cancel()
 
     def _stop_tasks(self) -> None:
         for task in self._tasks:
@@ -321,6 +329,7 @@
             "capacity": {"cpu": 64_000, "memMb": 262_144, "gpu": 8},
             "labels": [*self.labels, self.rack],
         }
+        self._written_at = time.monotonic()
         await self.store.put("keyed.servers", self.runner, entry)
 
     async def _handle(self, request: Request) -> Reply | None:
@@ -340,3 +349,13 @@
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
             await self.heartbeat()
+
+    async def _expire(self) -> None:
+        """Remove the entry after a silence, as the platform does."""
+        while True:
+            await asyncio.sleep(0.1)
+            silent = self._written_at is not None
+            if silent and time.monotonic() - self._written_at > EXPIRY_SECONDS:
+                self._written_at = None
+                self.ledger.write("entry_expired", machine=self.name)
+                await self.store.put("keyed.servers", self.runner, None)
