--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
-PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1 exec timeout --signal=INT 110 python3 case.py
+PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1 timeout --signal=INT 110 python3 case.py
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -325,9 +325,10 @@
     try:
         await cluster.open()
         broken = await case(cluster, trouble)
-    except (CannotRunError, OSError) as error:
-        ledger.write("cannot_run", error=error)
-        print(f"cannot run: {error}", file=sys.stderr)
+    except Exception as error:
+        # A fault of the case itself must not pass for a broken rule.
+        ledger.write("cannot_run", error=repr(error))
+        print(f"cannot run: {error!r}", file=sys.stderr)
         return 2
     finally:
         if os.environ.get("KEEP_LOGS"):
