dispatch, node: log which incarnation of a worker answered, and on what a takeover relies

A listing of another incarnation was logged only if its number was higher, and without the runs that it had accepted; a takeover did not log whether it took the previous owner for ended. Change: worker_born_again has both incarnations, the number of assignments and of those that the other incarnation lists, and the number that was acknowledged; the counter other_incarnations tells the order; owner_began has predecessor_ended.

--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -64,8 +64,7 @@
             now: Current time in seconds.
         """
         if listing.incarnation != worker.entry.incarnation:
-            if listing.incarnation > worker.entry.incarnation:
-                self._log("worker_born_again", worker=worker.name, life=listing.incarnation)
+            self._report_other_incarnation(worker, listing)
             return
         worker.answered_at = now
         self._runs.suspects.clear_worker(worker.name, listing.incarnation)
@@ -95,6 +94,22 @@
             ):
                 self._runs.end(assignment, RunEnd.LOST, "", now, cause="not_listed")
 
+    def _report_other_incarnation(self, worker: Worker, listing: Listing) -> None:
+        """Report that another incarnation answers than the one that the poll was meant for."""
+        later = listing.incarnation > worker.entry.incarnation
+        self._count("other_incarnations", "later" if later else "earlier")
+        runs = [row for row in listing.running if (row.task, row.run) in worker.assignments]
+        self._log(
+            "worker_born_again",
+            worker=worker.name,
+            life=listing.incarnation,
+            listed_life=worker.entry.incarnation,
+            assigned=len(worker.assignments),
+            accepted=len(runs),
+            ends=len(listing.ended),
+            acknowledged_end=worker.acknowledged_end,
+        )
+
     def _handle_active_run(self, worker: Worker, row: ActiveRun, now: float) -> None:
         assignment = worker.assignments.get((row.task, row.run))
         if assignment is None:
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -104,6 +104,7 @@
         self._workers = workers
         self._claim = claim
         self._time_limits = time_limits
+        self._predecessor_ended = predecessor_ended
         self._counters = counters
         self._recorder = Recorder(
             log_port=log_port, epoch=claim.epoch, sequence=sequence, counters=counters
@@ -155,7 +156,12 @@
 
     async def run(self) -> None:
         """Run until superseded, released or cancelled."""
-        log("owner_began", epoch=self.epoch, jobs=sum(1 for _ in self._view.job_table.jobs))
+        log(
+            "owner_began",
+            epoch=self.epoch,
+            jobs=sum(1 for _ in self._view.job_table.jobs),
+            predecessor_ended=self._predecessor_ended,
+        )
         for entry in list(self._view.job_table.jobs):
             self.add_job(entry)
         try:
