dispatch: a worker's own answer tells which incarnation runs, and calls are accounted to it

A worker restarts under its name while the platform's list still shows the earlier incarnation; the next one accepts a start, its listing is dropped, its end is acknowledged with the earlier one's number, and the task is started elsewhere once the list tells of the restart.

Cause: calls name a worker by its name alone, and the owner took each answer for one of the incarnation on the list.

Change: an incarnation that answers a poll sent after another one had begun is the later one. It replaces the known one at once (succession.py): runs that it lists go on there, those that provably went with the earlier one start again, and starts without an answer are stopped there before their task is placed again. A task is not placed while an orphan run of it is known. An entry of another incarnation is asked before it counts. Ends are acknowledged only right after an answer of the same incarnation.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -8,7 +8,7 @@
 
 from zinniaweir.dispatch.departure import units_to_move
 from zinniaweir.dispatch.expiry import Expiry
-from zinniaweir.dispatch.fleet import Fleet, OrphanRun, Worker
+from zinniaweir.dispatch.fleet import Fleet, LateStart, Worker
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.inherited import InheritedAssignments
 from zinniaweir.dispatch.listings import Listings
@@ -24,6 +24,7 @@
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.runs import Runs
+from zinniaweir.dispatch.succession import Succession
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob
 from zinniaweir.workloads.job_table import JobEntry
@@ -101,6 +102,12 @@
             health=self._health,
             reporter=reporter,
         )
+        self._succession = Succession(
+            fleet=self._fleet,
+            expiry=self._expiry,
+            max_lease_seconds=time_limits.max_lease_seconds,
+            reporter=reporter,
+        )
         self._planned_at = float("-inf")
         self._planner = Planner(
             fleet=self._fleet,
@@ -187,14 +194,15 @@
         """Apply the platform's list of workers."""
         draining = {worker.name for worker in self._fleet if worker.entry.draining}
         for ended_worker in self._fleet.update(entries, now=now):
-            self._expect_late_starts(ended_worker)
             self._expiry.end_worker(ended_worker, "worker_born_again", now)
         for worker in self._fleet:
             if worker.entry.draining and worker.name not in draining:
                 for assignment in worker.assignments.values():
                     self._runs.report_start_after_notice(assignment, worker)
         for worker in self._fleet:
-            self._attach_inherited(worker, now)
+            for assignment in self._inherited.pop_for_worker(worker.name):
+                # The previous owner's start may have reached a later incarnation, whose list tells.
+                worker.assign(assignment)
 
     def handle_listing(
         self,
@@ -207,14 +215,26 @@
     ) -> None:
         """Apply a worker's answer to a poll.
 
+        Another incarnation than the one that was polled replaces it.
+
         Args:
-            worker: The worker that was polled.
-            listing: Its answer.
+            worker: The incarnation that was polled.
+            listing: The answer.
             poll_sent_at: When the poll was sent; the answer reflects what was settled before.
             renewed: Whether the poll renewed the worker's lease.
             now: Current time in seconds.
         """
-        self._listings.apply(worker, listing, poll_sent_at=poll_sent_at, renewed=renewed, now=now)
+        answered = self._succession.resolve(worker, listing, poll_sent_at=poll_sent_at, now=now)
+        if answered is None:
+            return
+        self._listings.apply(
+            answered,
+            listing,
+            poll_sent_at=poll_sent_at,
+            # Another incarnation has another clock, so how long it took the lease is not known.
+            renewed=renewed and answered is worker,
+            now=now,
+        )
 
     def handle_unanswered_poll(self, worker: Worker, *, poll_sent_at: float) -> None:
         """Record that a worker did not answer a poll.
@@ -270,6 +290,12 @@
         """Apply the answer to a start."""
         assignment.start_in_flight = False
         self._count("starts", answer)
+        worker = self._fleet.get(assignment.worker)
+        if answer is StartAnswer.UNKNOWN and worker is not None:
+            worker.late_starts[assignment.task, assignment.run] = LateStart(
+                unit=assignment.unit,
+                sent_at=now if assignment.sent_at is None else assignment.sent_at,
+            )
         if self._worker_of(assignment) is None:
             return
         match answer:
@@ -449,7 +475,7 @@
             assignment.recorded = True
         for acknowledgement in changes.acknowledgements:
             worker = self._fleet.get(acknowledgement.worker)
-            if worker is not None and worker.entry.incarnation == acknowledgement.incarnation:
+            if worker is not None and worker.incarnation == acknowledgement.incarnation:
                 worker.acknowledged_end = max(worker.acknowledged_end, acknowledgement.number)
 
     def _expired(self, job: OwnedJob, now: float) -> bool:
@@ -462,38 +488,13 @@
     def _adopt(self, assignment: Assignment) -> None:
         """Attach a recorded assignment to its worker, or keep it until the worker is known."""
         worker = self._fleet.get(assignment.worker)
-        if worker is not None and worker.entry.incarnation == assignment.incarnation:
+        if worker is not None:
             worker.assign(assignment)
             return
         self._inherited.add(assignment)
 
-    def _attach_inherited(self, worker: Worker, now: float) -> None:
-        """Attach the previous owner's assignments to a worker; end those of old incarnations."""
-        lost = []
-        for assignment in self._inherited.pop_for_worker(worker.name, worker.entry.incarnation):
-            if assignment.incarnation == worker.entry.incarnation:
-                worker.assign(assignment)
-            else:
-                lost.append(assignment)
-        if lost:
-            self._runs.end_lost(lost, worker=None, cause="worker_born_again", now=now)
-
     def _worker_of(self, assignment: Assignment) -> Worker | None:
         worker = self._fleet.get(assignment.worker)
         if worker is None or (assignment.task, assignment.run) not in worker.assignments:
             return None
         return worker
-
-    def _expect_late_starts(self, ended_worker: Worker) -> None:
-        """Treat starts that were sent to an earlier incarnation as orphan runs of the current one.
-
-        A restarted worker has a new clock and knows no epoch, so it would accept a late start.
-        """
-        present = self._fleet.get(ended_worker.name)
-        if present is None:
-            return
-        for key, assignment in ended_worker.assignments.items():
-            if assignment.first_sent_at is not None and (
-                assignment.start_in_flight or assignment.start_unanswered
-            ):
-                present.orphan_runs.setdefault(key, OrphanRun())
--- a/packages/dispatch/src/zinniaweir/dispatch/expiry.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/expiry.py
@@ -64,20 +64,25 @@
         silent = now - worker.answered_at > MAX_SILENCE_SECONDS
         # An owner that was paused asks first: the worker may have ends to report.
         asked_at = worker.unanswered_poll_sent_at
-        if silent and worker.assignments and self._leases_expired(worker, asked_at):
+        occupied = worker.assignments or worker.orphan_runs
+        if silent and occupied and self._leases_expired(worker, asked_at):
+            worker.remove_orphan_runs()
             self._runs.end_lost(
                 list(worker.assignments.values()), worker=worker, cause="lease_over", now=now
             )
         missing = (
             worker.missing_since is not None and now - worker.missing_since > REMOVE_MISSING_SECONDS
         )
-        if missing and silent and not worker.assignments:
+        if missing and silent and worker.idle:
             self.end_worker(worker, "missing_and_silent", now)
             self._fleet.remove(worker)
 
     def _leases_expired(self, worker: Worker, now: float) -> bool:
         """Return whether every lease of a worker has expired, including a previous owner's."""
-        inherited = any(assignment.inherited for assignment in worker.assignments.values())
+        # An orphan run may be on a lease of a previous owner.
+        inherited = bool(worker.orphan_runs) or any(
+            assignment.inherited for assignment in worker.assignments.values()
+        )
         if worker.listed_at is None or inherited:
             if not self._inherited.leases_expired(now):
                 return False
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -8,7 +8,7 @@
 
 from zinniaweir.dispatch.clock import WorkerClock
 from zinniaweir.dispatch.messages import TaskId, WorkerEntry
-from zinniaweir.dispatch.units import Assignment, Demand
+from zinniaweir.dispatch.units import Assignment, Demand, Unit
 from zinniaweir.workloads.spec import MAX_TASKS
 
 MAX_SILENCE_SECONDS: Final = 2.0
@@ -29,20 +29,44 @@
 """
 
 
+LATE_CALL_SECONDS: Final = 15.0
+"""A call without an answer may be carried out within this time, also by a later incarnation."""
+
+
 @dataclass(kw_only=True, eq=False)
 class OrphanRun:
     """A run without an assignment, or a start for an earlier incarnation that may still arrive."""
 
+    unit: Unit | None = None
+    """The unit, which is not placed again before this run has ended; None if it is unknown."""
     stop_sent_at: float | None = None
     settled_at: float | None = None
     """When a stop was acknowledged, after which the worker rejects starts of the run."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class LateStart:
+    """A start without an answer, which may be carried out late."""
+
+    unit: Unit
+    sent_at: float
+    """When its newest copy was sent, in seconds."""
+
+
 @dataclass(kw_only=True, eq=False)
 class Worker:
     """One incarnation of a worker."""
 
     entry: WorkerEntry
+    """Its entry, or that of an earlier incarnation while the list does not show this one."""
+    unlisted_incarnation: int | None = None
+    """This incarnation, if only its own answers tell of it; None if its entry was listed."""
+    ended_incarnations: frozenset[int] = frozenset()
+    """Earlier incarnations, which a later one has answered for; their entries are outdated."""
+    announced: WorkerEntry | None = None
+    """Entry of another incarnation, which holds once that one has answered."""
+    announced_at: float = float("-inf")
+    """When that entry was read, in seconds."""
     clock: WorkerClock = field(default_factory=WorkerClock)
     listed_at: float | None = None
     """When the last answered poll of this epoch was sent."""
@@ -56,12 +80,16 @@
     """When the newest answered poll that renewed the lease was sent, in seconds."""
     acknowledged_end: int = 0
     """Number of the newest end of a run that is recorded in the log."""
+    discarded_end: int = 0
+    """Number of the newest end that the worker has discarded, as an answered poll told it to."""
     applied_end: int = 0
     """Number of the newest end of a run that was applied to the owner's state."""
     assignments: dict[tuple[TaskId, int], Assignment] = field(default_factory=dict)
     """Assignments whose end is not known yet, by task and run."""
     orphan_runs: dict[tuple[TaskId, int], OrphanRun] = field(default_factory=dict)
     """Runs without an assignment that may use resources; while there are any, it gets no work."""
+    late_starts: dict[tuple[TaskId, int], LateStart] = field(default_factory=dict)
+    """Starts that may still arrive after the worker restarts, by task and run."""
     departs_at: float | None = None
     """Earliest departure of a draining worker in seconds, None if it is unknown or stays."""
     drain_reported_ms: int | None = None
@@ -84,6 +112,31 @@
         """The worker's name."""
         return self.entry.worker
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that all of this is about."""
+        if self.unlisted_incarnation is not None:
+            return self.unlisted_incarnation
+        return self.entry.incarnation
+
+    @property
+    def entry_outdated(self) -> bool:
+        """Whether its entry may be that of another incarnation."""
+        return self.announced is not None or self.entry.incarnation != self.incarnation
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of the owner's can be running there or on its way."""
+        return not (self.assignments or self.orphan_runs or self.late_starts)
+
+    @property
+    def acknowledgement_to_send(self) -> int:
+        """Number of the newest end that the worker may discard and has not, 0 if there is none.
+
+        A later incarnation numbers its ends anew, and would discard ends that nobody has read.
+        """
+        return self.acknowledged_end if self.acknowledged_end > self.discarded_end else 0
+
     @property
     def unanswered(self) -> bool:
         """Whether the newest poll that ended had no answer."""
@@ -154,6 +207,51 @@
         self.used_accelerators -= step.accelerators
         self._fits.clear()
 
+    def add_orphan_run(self, key: tuple[TaskId, int], unit: Unit | None) -> None:
+        """Add a run without an assignment; its unit waits until the run has ended.
+
+        Args:
+            key: Task and run.
+            unit: The unit, None if it is unknown.
+        """
+        if key in self.orphan_runs:
+            return
+        orphan_run = self.orphan_runs[key] = OrphanRun(unit=unit)
+        if unit is not None:
+            unit.orphan_runs[orphan_run] = None
+
+    def remove_orphan_run(self, key: tuple[TaskId, int]) -> None:
+        """Remove a run that has ended."""
+        orphan_run = self.orphan_runs.pop(key)
+        if orphan_run.unit is not None:
+            orphan_run.unit.orphan_runs.pop(orphan_run, None)
+
+    def remove_orphan_runs(self) -> None:
+        """Remove all runs without an assignment, since everything on the worker has ended."""
+        for key in list(self.orphan_runs):
+            self.remove_orphan_run(key)
+
+    def forget_late_starts(self, now: float) -> None:
+        """Remove the starts that cannot arrive any more."""
+        for key, start in list(self.late_starts.items()):
+            if now - start.sent_at > LATE_CALL_SECONDS:
+                del self.late_starts[key]
+
+    def announce(self, entry: WorkerEntry, *, now: float) -> None:
+        """Apply an entry of another incarnation, which is asked before it counts."""
+        if entry.incarnation in self.ended_incarnations:
+            return
+        if self.announced is None or self.announced.incarnation != entry.incarnation:
+            self.announced_at = now
+        self.announced = entry
+        self.missing_since = None
+
+    def withdraw_announcement(self) -> None:
+        """Drop the entry of another incarnation, since this one has outlived that one."""
+        if self.announced is not None:
+            self.ended_incarnations |= {self.announced.incarnation}
+            self.announced = None
+
     def update_entry(self, entry: WorkerEntry, *, now: float) -> None:
         """Apply a newer entry of the same incarnation."""
         if entry is not self.entry or (entry.draining and self.departs_at is None):
@@ -166,6 +264,7 @@
             self.drain_reported_ms = entry.reported_ms
         if entry is not self.entry:
             self.entry = entry
+            self.unlisted_incarnation = None
             self._fits.clear()
             self._fits_empty.clear()
         self.missing_since = None
@@ -217,29 +316,42 @@
     def update(self, entries: Iterable[WorkerEntry], *, now: float) -> list[Worker]:
         """Apply the platform's list of workers.
 
+        An entry of another incarnation is asked first if work may be running on the known one:
+        clocks of workers step and entries are stored late, so only an answer orders the two.
+
         Returns:
-            Incarnations that ended because their worker restarted.
+            Idle incarnations that were replaced, since their worker is listed with another one.
         """
-        ended: list[Worker] = []
+        replaced: list[Worker] = []
         present = set()
         for entry in entries:
             present.add(entry.worker)
             worker = self._workers.get(entry.worker)
             if worker is None:
                 self._workers[entry.worker] = Worker(entry=entry)
-            elif entry.incarnation > worker.entry.incarnation:
-                ended.append(worker)
-                self._workers[entry.worker] = Worker(entry=entry)
-            elif entry.incarnation == worker.entry.incarnation:
+            elif entry.incarnation == worker.incarnation:
                 # A list that was read anew may hold an older report; a newer drain still holds.
                 newest = worker.entry if entry.is_older_than(worker.entry) else entry
                 worker.update_entry(newest, now=now)
+            elif worker.idle and entry.incarnation not in worker.ended_incarnations:
+                replaced.append(worker)
+                self._workers[entry.worker] = Worker(
+                    entry=entry, ended_incarnations=worker.ended_incarnations
+                )
+            else:
+                worker.announce(entry, now=now)
         for name, worker in self._workers.items():
+            worker.forget_late_starts(now)
             if name not in present and worker.missing_since is None:
                 worker.missing_since = now
-        return ended
+        return replaced
+
+    def replace(self, worker: Worker) -> None:
+        """Replace an incarnation by another one of the same worker."""
+        self._workers[worker.name] = worker
 
     def remove(self, worker: Worker) -> None:
-        """Remove a worker, unless a newer incarnation has replaced it."""
+        """Remove a worker, unless another incarnation has replaced it."""
         if self._workers.get(worker.name) is worker:
+            worker.remove_orphan_runs()
             del self._workers[worker.name]
--- a/packages/dispatch/src/zinniaweir/dispatch/inherited.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/inherited.py
@@ -29,22 +29,13 @@
             assignment
         )
 
-    def pop_for_worker(self, worker: str, incarnation: int) -> Iterator[Assignment]:
-        """Yield and remove the assignments to a worker's current and earlier incarnations.
+    def pop_for_worker(self, worker: str) -> list[Assignment]:
+        """Remove and return the assignments to all incarnations of a worker.
 
         Args:
             worker: Name of the worker.
-            incarnation: Its current incarnation.
         """
-        assignments = self._assignments.get(worker)
-        if assignments is None:
-            return
-        for key, assignment in list(assignments.items()):
-            if assignment.incarnation <= incarnation:
-                del assignments[key]
-                yield assignment
-        if not assignments:
-            del self._assignments[worker]
+        return list(self._assignments.pop(worker, {}).values())
 
     def pop_expired(self, now: float) -> Iterator[list[Assignment]]:
         """Yield and remove the assignments of each worker once every lease has expired."""
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from zinniaweir.dispatch.fleet import OrphanRun, Worker
+from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.health import STALL_TIMEOUT_SECONDS, WorkerHealth
 from zinniaweir.dispatch.messages import (
     Acknowledgement,
@@ -16,7 +16,7 @@
 )
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.runs import Runs
-from zinniaweir.dispatch.units import Assignment, OwnedJob
+from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 
 
 class Listings:
@@ -54,18 +54,15 @@
         renewed: bool,
         now: float,
     ) -> None:
-        """Apply a worker's answer to a poll.
+        """Apply the answer to a poll.
 
         Args:
-            worker: The worker that was polled.
+            worker: The incarnation that answered.
             listing: Its answer.
             poll_sent_at: When the poll was sent; the answer reflects what was settled before.
             renewed: Whether the poll renewed the worker's lease.
             now: Current time in seconds.
         """
-        if listing.incarnation != worker.entry.incarnation:
-            self._report_other_incarnation(worker, listing)
-            return
         worker.answered_at = now
         self._runs.suspects.clear_worker(worker.name, listing.incarnation)
         if renewed:
@@ -86,36 +83,32 @@
         for key, orphan_run in list(worker.orphan_runs.items()):
             settled = orphan_run.settled_at is not None and orphan_run.settled_at < poll_sent_at
             if key not in present and settled:
-                del worker.orphan_runs[key]
+                worker.remove_orphan_run(key)
                 self._runs.changed = True
+        lost = []
         for key, assignment in list(worker.assignments.items()):
-            if key not in present and self._absence_proves_end(
+            if key in present or not self._absence_proves_end(
                 worker, assignment, poll_sent_at, now
             ):
+                continue
+            if assignment.incarnation == worker.incarnation:
                 self._runs.end(assignment, RunEnd.LOST, "", now, cause="not_listed")
-
-    def _report_other_incarnation(self, worker: Worker, listing: Listing) -> None:
-        """Report that another incarnation answers than the one that the poll was meant for."""
-        later = listing.incarnation > worker.entry.incarnation
-        self._count("other_incarnations", "later" if later else "earlier")
-        runs = [row for row in listing.running if (row.task, row.run) in worker.assignments]
-        self._log(
-            "worker_born_again",
-            worker=worker.name,
-            life=listing.incarnation,
-            listed_life=worker.entry.incarnation,
-            assigned=len(worker.assignments),
-            accepted=len(runs),
-            ends=len(listing.ended),
-            acknowledged_end=worker.acknowledged_end,
-        )
+            else:
+                lost.append(assignment)
+        if lost:
+            # A previous owner placed them on an earlier incarnation.
+            self._runs.end_lost(lost, worker=None, cause="worker_born_again", now=now)
 
     def _handle_active_run(self, worker: Worker, row: ActiveRun, now: float) -> None:
         assignment = worker.assignments.get((row.task, row.run))
         if assignment is None:
-            worker.orphan_runs.setdefault((row.task, row.run), OrphanRun())
+            worker.add_orphan_run((row.task, row.run), self._unit_of(row.task))
             return
         unit = assignment.unit
+        if assignment.incarnation != worker.incarnation:
+            # The start reached a later incarnation than the one that it was meant for.
+            assignment.incarnation = worker.incarnation
+            self._runs.changed_jobs[unit.job.job_id] = unit.job
         if row.checkpoint and row.checkpoint != unit.checkpoint:
             unit.checkpoint = row.checkpoint
         if not assignment.started:
@@ -135,7 +128,7 @@
             return
         worker.applied_end = row.number
         self.acknowledgements[worker.name] = Acknowledgement(
-            worker=worker.name, incarnation=worker.entry.incarnation, number=row.number
+            worker=worker.name, incarnation=worker.incarnation, number=row.number
         )
         if row.task is None:
             self._log("stranger_ended", worker=worker.name, number=row.number)
@@ -154,12 +147,13 @@
         Its worker was silent until its leases had expired, and reports the end only now. One done
         member stands for its whole gang.
         """
+        unit = self._unit_of(task)
+        if unit is not None and not unit.job.closed and unit.run == run:
+            self._runs.complete_lost_run(unit, now)
+
+    def _unit_of(self, task: TaskId) -> Unit | None:
         job = self._jobs.get(task.job_id)
-        if job is None or job.closed:
-            return
-        for unit in job.units:
-            if unit.step_number == task.step and task.index in unit.indexes and unit.run == run:
-                self._runs.complete_lost_run(unit, now)
+        return None if job is None else job.unit_of(task)
 
     def _absence_proves_end(
         self, worker: Worker, assignment: Assignment, poll_sent_at: float, now: float
--- a/packages/dispatch/src/zinniaweir/dispatch/messages.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/messages.py
@@ -85,7 +85,7 @@
     rack: str
     labels: frozenset[str]
     incarnation: int
-    """Start time of the worker's incarnation; a restarted worker has a higher one."""
+    """Start time of the worker's incarnation, by its clock, which may step; it orders nothing."""
     draining: bool
     cpu_millis: int
     memory_mb: int
@@ -98,12 +98,12 @@
     """The worker's clock when it made the report, in milliseconds; None if it does not tell."""
 
     def is_older_than(self, other: WorkerEntry) -> bool:
-        """Return whether the same worker made another report later, in this incarnation or a newer.
+        """Return whether the same incarnation of the worker made another report later.
 
         Args:
             other: An entry of the same worker.
         """
-        return (self.incarnation, self.report_number) < (other.incarnation, other.report_number)
+        return self.incarnation == other.incarnation and self.report_number < other.report_number
 
 
 class StartAnswer(StrEnum):
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -125,6 +125,8 @@
             return "view_too_old"
         if worker.listed_at is None:
             return "not_listed"
+        if worker.entry_outdated:
+            return "entry_outdated"
         if worker.missing_since is not None:
             return "missing"
         if worker.entry.draining:
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -281,7 +281,7 @@
                 index=index,
                 run=unit.run,
                 worker=worker.name,
-                incarnation=worker.entry.incarnation,
+                incarnation=worker.incarnation,
                 placed_at=now,
             )
             unit.assignments[index] = assignment
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from zinniaweir.dispatch.messages import TaskId
 from zinniaweir.workloads.job_table import JobEntry
@@ -19,6 +19,9 @@
 )
 from zinniaweir.workloads.spec import StepSpec
 
+if TYPE_CHECKING:
+    from zinniaweir.dispatch.fleet import OrphanRun
+
 
 class Demand(NamedTuple):
     """Resources that one task needs on a worker."""
@@ -109,6 +112,8 @@
     """Runs that were lost with their workers."""
     assignments: dict[int, Assignment] = field(default_factory=dict)
     """Assignments of the newest run that may still be in use, by index."""
+    orphan_runs: dict[OrphanRun, None] = field(default_factory=dict, repr=False)
+    """Runs of it that no assignment stands for; it is not placed again before they have ended."""
     waiting_since: float = 0.0
     wait_logged: bool = False
     """Whether its current wait has been logged."""
@@ -132,8 +137,8 @@
 
     @property
     def waiting(self) -> bool:
-        """Whether it is neither done nor assigned to workers."""
-        return not self.done and not self.assignments
+        """Whether it is not done and no run of it can be in progress."""
+        return not (self.done or self.assignments or self.orphan_runs)
 
     def record(self) -> UnitRecord:
         """Return the unit as it is stored in the log."""
@@ -210,6 +215,13 @@
         ready = {n for n in range(len(self.steps)) if self._step_ready(n)}
         return (u for u in self.units if u.waiting and u.step_number in ready)
 
+    def unit_of(self, task: TaskId) -> Unit | None:
+        """Return the unit that a task belongs to, None if the job has no such task."""
+        for unit in self.units:
+            if unit.step_number == task.step and task.index in unit.indexes:
+                return unit
+        return None
+
     def finish_unit(self, unit: Unit) -> None:
         """Mark a unit as done."""
         if not unit.done:
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -220,6 +220,17 @@
             fake.end((assignment.task, assignment.run), RunEnd.STOPPED)
         self.dispatcher.handle_stop_answer(assignment, acknowledged=True, now=self.now)
 
+    def stop_orphan_runs(self) -> None:
+        for worker, task, run in list(
+            self.dispatcher.orphan_runs_to_stop(now=self.now, retry_after_seconds=0.7)
+        ):
+            fake = self.workers.get(worker.name)
+            if fake is None or fake.silent:
+                continue
+            if (task, run) in fake.runs:
+                fake.end((task, run), RunEnd.STOPPED)
+            self.dispatcher.mark_orphan_run_stopped(worker, task, run, now=self.now)
+
     def run(self, seconds: float) -> None:
         until = self.now + seconds
         while self.now < until:
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -103,6 +103,7 @@
                 del self.workers[name]
         self._crash_if_due()
         super().tick()
+        self.stop_orphan_runs()
 
     def stop(self, assignment: Assignment) -> None:
         if assignment.worker in self.workers:
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -9,7 +9,7 @@
 
 from zinniaweir.dispatch.dispatcher import Changes, Dispatcher
 from zinniaweir.dispatch.fleet import Worker
-from zinniaweir.dispatch.messages import StartAnswer, TaskId
+from zinniaweir.dispatch.messages import Listing, StartAnswer, TaskId
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment
 from zinniaweir.node.boottime import boottime
@@ -119,6 +119,8 @@
         self._record_wake = asyncio.Event()
         self._end_requested = asyncio.Event()
         self._polled: dict[str, Worker] = {}
+        self._asked: dict[str, Worker] = {}
+        """Workers that are asked which incarnation answers at a newly listed address."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._releasing = False
 
@@ -234,6 +236,9 @@
             if self._polled.get(worker.name) is not worker:
                 self._polled[worker.name] = worker
                 self._spawn(self._poll_worker(worker))
+            if worker.announced is not None and self._asked.get(worker.name) is not worker:
+                self._asked[worker.name] = worker
+                self._spawn(self._ask_announced(worker))
 
     def _send_commands(self, now: float) -> None:
         dispatcher = self._dispatcher
@@ -321,11 +326,13 @@
             unconfirmed = lease is not None and not worker.leased(poll_sent_at)
             if worker.listed_at is None or unconfirmed or not answered:
                 wait = 0.0
+            acknowledgement = worker.acknowledgement_to_send if answered else 0
             try:
                 listing = await self._workers.poll(
                     worker.entry,
                     epoch=self.epoch,
-                    acknowledged=worker.acknowledged_end,
+                    # Only an incarnation that has just answered is surely the one that is meant.
+                    acknowledged=acknowledgement,
                     lease_until_ms=lease,
                     wait_seconds=wait,
                 )
@@ -344,21 +351,53 @@
                 await asyncio.sleep(delay)
                 continue
             answered = True
-            try:
-                dispatcher.handle_listing(
-                    worker,
-                    listing,
-                    poll_sent_at=poll_sent_at,
-                    renewed=lease is not None,
-                    now=boottime(),
-                )
-            except Exception as error:
-                self._report_fault(error, action="poll", worker=worker.name)
-                await asyncio.sleep(FAULT_DELAY_SECONDS)
-            self.wake()
+            worker.discarded_end = max(worker.discarded_end, acknowledgement)
+            await self._apply_listing(
+                worker, listing, poll_sent_at=poll_sent_at, renewed=lease is not None
+            )
             if worker.applied_end > worker.acknowledged_end:
                 await asyncio.sleep(self._unacknowledged_delay)
 
+    async def _ask_announced(self, worker: Worker) -> None:
+        """Ask which incarnation of a worker runs, since the platform's list shows another one.
+
+        The poll renews and acknowledges nothing. An answer settles it: either the other incarnation
+        answers and replaces the known one, or the known one has outlived the other.
+        """
+        dispatcher = self._dispatcher
+        while dispatcher.fleet.get(worker.name) is worker and worker.announced is not None:
+            poll_sent_at = boottime()
+            try:
+                listing = await self._workers.poll(
+                    worker.announced,
+                    epoch=self.epoch,
+                    acknowledged=0,
+                    lease_until_ms=None,
+                    wait_seconds=0.0,
+                )
+            except StaleEpochError:
+                self._on_fenced(worker)
+                return
+            except WorkerCallError as error:
+                self._counters.add("look_failures", reason=type(error).__name__)
+                await asyncio.sleep(POLL_RETRY_DELAY_SECONDS)
+                continue
+            await self._apply_listing(worker, listing, poll_sent_at=poll_sent_at, renewed=False)
+        if self._asked.get(worker.name) is worker:
+            del self._asked[worker.name]
+
+    async def _apply_listing(
+        self, worker: Worker, listing: Listing, *, poll_sent_at: float, renewed: bool
+    ) -> None:
+        try:
+            self._dispatcher.handle_listing(
+                worker, listing, poll_sent_at=poll_sent_at, renewed=renewed, now=boottime()
+            )
+        except Exception as error:
+            self._report_fault(error, action="poll", worker=worker.name)
+            await asyncio.sleep(FAULT_DELAY_SECONDS)
+        self.wake()
+
     @property
     def _unacknowledged_delay(self) -> float:
         log_is_slow = self._recorder.pending_seconds > OUTAGE_DELAY_SECONDS
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -5,11 +5,13 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from zinniaweir.dispatch.dispatcher import Dispatcher
+from zinniaweir.dispatch.messages import EndedRun, Listing, RunEnd, WorkerEntry
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node.answers import (
     Accepted,
@@ -342,6 +344,47 @@
     run(work())
 
 
+class RestartingWorkers(MemoryWorkers):
+    """A worker that has one end to report and may restart under its name."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.incarnation = 1
+        self.acknowledged: list[tuple[int, int]] = []
+        """Incarnation that received each poll, and the number of the end that it may discard."""
+
+    async def poll(self, entry: WorkerEntry, *, acknowledged: int, **options: Any) -> Listing:
+        self.acknowledged.append((self.incarnation, acknowledged))
+        listing = await super().poll(entry, acknowledged=acknowledged, **options)
+        end = EndedRun(number=1, task=None, run=1, end=RunEnd.DONE, checkpoint="")
+        ended = () if (self.incarnation, 1) in self.acknowledged else (end,)
+        return replace(listing, incarnation=self.incarnation, ended=ended)
+
+
+def test_restarted_worker_is_not_told_to_discard_what_the_earlier_incarnation_reported(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against TWICE: an end that nobody has read is discarded, and the task runs again.
+
+    The platform's list shows the earlier incarnation all the while.
+    """
+    workers = RestartingWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        async with running(new_node("v1", memory_log, workers)):
+            await until(lambda: (1, 1) in workers.acknowledged)
+            workers.silent = True
+            await asyncio.sleep(0.2)
+            workers.incarnation, workers.silent = 2, False
+            await until(lambda: (2, 1) in workers.acknowledged)
+
+    run(work())
+    sent = [number for incarnation, number in workers.acknowledged if incarnation == 2]
+    # The first poll that the new incarnation answers tells its end, which is then recorded.
+    assert sent.index(1) > 0
+
+
 def test_invalid_records_are_ignored(memory_log: MemoryLog) -> None:
     """Guards against a crash of the process on an invalid record of another writer."""
     memory_log.put(Stream.WORKERS, "w0", b"broken")
