owner: an earlier owner that is cut off from the log is not forgotten

If the owner after it released the ownership or was restarted at once, the third one took that end for proof that nobody renews leases, waited for one lease only, and started the task elsewhere while a worker that only the first one reached still ran it.

Claims, renewals and releases now say whether they are sole: whether no earlier owner can renew a lease any more. A new owner waits for one lease only if the claim that it replaces was sole and its owner has ended. What it claimed with is read back with the claim, so a claim that took effect from an earlier attempt carries the proof of that attempt. Claims without the field, of other versions, are not sole.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -60,7 +60,7 @@
 
     Args:
         now: Current time in seconds, when the ownership began.
-        predecessor_ended: Whether the previous owner has provably ended.
+        predecessor_ended: Whether no previous owner can renew a lease any more.
         time_limits: Durations that limit leases and retention.
         reporter: Receives log events, counts and durations.
     """
--- a/packages/node/src/zinniaweir/node/claim_policy.py
+++ b/packages/node/src/zinniaweir/node/claim_policy.py
@@ -69,6 +69,19 @@
     return names.index(vm) if vm in names else 0
 
 
+def earlier_owners_ended(last: OwnerClaim | None, *, vm: str) -> bool:
+    """Return whether no owner up to the last one can renew a lease any more.
+
+    The end of the last owner tells nothing about an owner before it that was cut off from the log
+    and still renews leases.
+
+    Args:
+        last: The claim to be replaced, None if there is none.
+        vm: Name of the VM that claims; its earlier process has ended.
+    """
+    return last is None or (last.sole and (last.released or last.vm == vm))
+
+
 class ClaimPolicy:
     """Decide from the claims on the log when this VM should claim the ownership.
 
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -15,6 +15,7 @@
     SMALL_VM_DELAY_SECONDS,
     ClaimPolicy,
     claim_rank,
+    earlier_owners_ended,
 )
 from zinniaweir.node.owner import Owner
 from zinniaweir.node.ports import (
@@ -119,7 +120,6 @@
         self._ended_epoch = 0
         self._claimed_epoch = 0
         self._sequence = 0
-        self._predecessor_ended = False
         self._stopping = False
         self._election_wake = asyncio.Event()
         self._view.on_submission = self._on_submission
@@ -242,7 +242,10 @@
 
     async def _try_claim(self, last: OwnerClaim | None) -> None:
         claim = OwnerClaim(
-            vm=self._vm_name, incarnation=self._incarnation, epoch=(last.epoch if last else 0) + 1
+            vm=self._vm_name,
+            incarnation=self._incarnation,
+            epoch=(last.epoch if last else 0) + 1,
+            sole=earlier_owners_ended(last, vm=self._vm_name),
         )
         record = KeyedRecord(key=OWNER_KEY, value=encode_record(claim))
         # The first append of an epoch fences off appends of lower epochs, and those of the same
@@ -251,7 +254,6 @@
         # numbers. A retried claim keeps its number and so gets the answer that was lost.
         if claim.epoch != self._claimed_epoch:
             self._claimed_epoch, self._sequence = claim.epoch, secrets.randbelow(SEQUENCE_RANGE)
-        self._predecessor_ended = last is None or last.released or last.vm == self._vm_name
         fence = Fence(epoch=claim.epoch, sequence=self._sequence)
         try:
             await self._log_port.append([record], fence=fence)
@@ -272,7 +274,6 @@
             workers=self._workers,
             claim=claim,
             sequence=self._sequence,
-            predecessor_ended=self._predecessor_ended,
             time_limits=self._time_limits,
             counters=self._counters,
             timers=self._timers,
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -79,9 +79,8 @@
         view: State of the platform as read from the log.
         log_port: The platform's log.
         workers: Client for calls to workers.
-        claim: The ownership claim of this epoch.
+        claim: The ownership claim of this epoch, as read from the log.
         sequence: Sequence number with which the claim was appended.
-        predecessor_ended: Whether the previous owner has provably ended.
         time_limits: Durations that limit leases and retention.
         counters: Receives counts of decisions and failures.
         timers: Receives durations of waits and jobs.
@@ -95,7 +94,6 @@
         workers: WorkerClient,
         claim: OwnerClaim,
         sequence: int,
-        predecessor_ended: bool,
         time_limits: TimeLimits,
         counters: Counters,
         timers: Timers,
@@ -108,9 +106,10 @@
         self._recorder = Recorder(
             log_port=log_port, epoch=claim.epoch, sequence=sequence, counters=counters
         )
+        self._began_at = boottime()
         self._dispatcher = Dispatcher(
-            now=boottime(),
-            predecessor_ended=predecessor_ended,
+            now=self._began_at,
+            predecessor_ended=claim.sole,
             time_limits=time_limits,
             reporter=OwnerReporter(epoch=claim.epoch, counters=counters, timers=timers),
         )
@@ -421,11 +420,14 @@
 
     def _next_renewal(self) -> KeyedRecord:
         previous = self._claim
+        owned_seconds = boottime() - self._began_at
         self._claim = OwnerClaim(
             vm=previous.vm,
             incarnation=previous.incarnation,
             epoch=previous.epoch,
             beat=previous.beat + 1,
             released=self._releasing,
+            # By then, owners that were cut off from the log when this one began have stopped.
+            sole=previous.sole or owned_seconds > self._time_limits.renewal_grace_seconds,
         )
         return KeyedRecord(key=OWNER_KEY, value=encode_record(self._claim))
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -11,6 +11,7 @@
 
 from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.time_limits import TimeLimits
+from zinniaweir.node import owner as owner_module
 from zinniaweir.node.answers import (
     Accepted,
     OutcomeUnknown,
@@ -425,3 +426,47 @@
             )
 
     run(work())
+
+
+@pytest.mark.parametrize("second_ends", ["releases", "restarts"])
+@pytest.mark.parametrize("grace_seconds", [20.0, 0.3])
+def test_last_owners_end_does_not_hide_an_earlier_owner_that_is_cut_off(
+    memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch, second_ends: str, grace_seconds: float
+) -> None:
+    """Guards against a second run of a task while the owner before the last renews its lease.
+
+    The first owner is cut off from the log, and the second ends at once: within the first one's
+    grace, unless that is short.
+    """
+    began: list[bool] = []
+
+    class RecordingDispatcher(Dispatcher):
+        def __init__(self, *, predecessor_ended: bool, **options: Any) -> None:
+            began.append(predecessor_ended)
+            super().__init__(predecessor_ended=predecessor_ended, **options)
+
+    monkeypatch.setattr(owner_module, "Dispatcher", RecordingDispatcher)
+    limits = TimeLimits(renewal_grace_seconds=grace_seconds)
+    logs = [RefusingLog(memory_log), RefusingLog(memory_log)]
+
+    async def work() -> None:
+        first, second = (
+            new_node(f"v{n}", log, MemoryWorkers(), time_limits=limits)
+            for n, log in enumerate(logs)
+        )
+        async with running(first):
+            await until(lambda: first.owner is not None)
+            async with running(second):
+                logs[0].refusing = True
+                await until(lambda: second.owner is not None)
+                await asyncio.sleep(0.7)
+                if second_ends == "releases":
+                    await second.stop()
+                logs[1].refusing = True
+            vm = "v2" if second_ends == "releases" else "v1"
+            third = new_node(vm, memory_log, MemoryWorkers(), time_limits=limits)
+            async with running(third):
+                await until(lambda: third.owner is not None, seconds=1.0)
+        assert began == [True, False, grace_seconds < 1.0]
+
+    run(work())
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -110,6 +110,11 @@
     beat: int = 0
     """Sequence number of the renewal."""
     released: bool = False
+    sole: bool = False
+    """Whether every earlier owner has provably renewed its last lease.
+
+    Owners of earlier versions do not set it.
+    """
 
 
 class VmAddress(msgspec.Struct, frozen=True, kw_only=True, tag="vm"):
