owner: no lease is renewed and no start is sent once the ownership is to be released

While the answer to the record of the release was late or lost, the owner polled with leases and sent the starts that were recorded with the release or just before it. The next owner counts one lease from its beginning, so a worker that it does not reach could run a task for up to 1.5 s longer. From the call of release on, polls carry no lease and starts are kept back; stops are sent. The next owner polls within about 1.5 s, and leases are 6 s. If the release times out, the process ends.

--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -176,7 +176,8 @@
     async def release(self) -> None:
         """Record the release of the ownership and wait for the owner to end.
 
-        Another VM may claim a released ownership without waiting for a timeout.
+        Another VM may claim a released ownership without waiting for a timeout, and before the
+        record of the release is answered. So no lease is renewed and no start is sent from now on.
         """
         self._releasing = True
         self._record_wake.set()
@@ -253,7 +254,7 @@
             self._spawn(self._stop_orphan_run(worker, task, run))
 
     def _send_start(self, assignment: Assignment, now: float) -> None:
-        if self._dispatcher.prepare_start(assignment, now=now):
+        if not self._releasing and self._dispatcher.prepare_start(assignment, now=now):
             self._spawn(self._start(assignment))
 
     async def _start(self, assignment: Assignment) -> None:
@@ -368,6 +369,8 @@
 
         The lease end is in milliseconds on the worker's clock.
         """
+        if self._releasing:
+            return None
         if not worker.clock.known or now - worker.answered_at > MAX_SILENCE_FOR_RENEWAL_SECONDS:
             return None
         if now - self._recorder.confirmed_at > self._time_limits.renewal_grace_seconds:
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -502,3 +502,31 @@
             assert not any(workers.leases)
 
     run(work())
+
+
+def test_owner_that_releases_renews_no_lease_and_starts_nothing(memory_log: MemoryLog) -> None:
+    """Guards against a second run of a task on a worker that the next owner does not reach.
+
+    The next owner waits for one lease from its beginning, which may come before the answer to the
+    record of the release.
+    """
+    workers = MemoryWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await until(lambda: any(workers.leases))
+            memory_log.append_seconds = 0.3
+            await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline())
+            await until(lambda: node.view.job_table.get("a1") is not None)
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(node.stop())
+            await asyncio.sleep(0)
+            started, polled = len(workers.started), len(workers.leases)
+            await stopping
+            assert workers.started[started:] == []
+            assert len(workers.leases) > polled + 3
+            assert not any(workers.leases[polled:])
+
+    run(work())
