owner: a poll that is carried out late gives no longer lease than the next owner waits for

A lease's end was sent as the upper bound on the worker's clock and 6 s. That bound is too high by up to the time that a poll waits, 1.2 s, or more after slow answers. If the poll was carried out at once, the worker cut the lease to its maximum; carried out late, the lease lasted up to 1.2 s longer than 6 s from its sending. An owner that knows by its predecessor's release or restart that nobody else renews leases, and does not reach the worker, waits for 6.18 s. The end is now the lower bound and 6 s, so it is at most 6 s after the sending on the worker's clock.

The test failed on the code before (a lease of 6.32 s).

--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -367,7 +367,9 @@
     def _lease(self, worker: Worker, now: float) -> int | None:
         """Return the lease end to send with a poll, None if the lease must not be renewed.
 
-        The lease end is in milliseconds on the worker's clock.
+        The lease end is in milliseconds on the worker's clock. It counts from the lower bound of
+        that clock, so a poll that is carried out late gives no longer lease than the next owner
+        waits for.
         """
         if self._releasing:
             return None
@@ -375,7 +377,7 @@
             return None
         if now - self._recorder.confirmed_at > self._time_limits.renewal_grace_seconds:
             return None
-        until = int(worker.clock.latest(now) + self._time_limits.lease_seconds * 1e3)
+        until = int(worker.clock.earliest(now) + self._time_limits.lease_seconds * 1e3)
         worker.lease_until_ms = max(worker.lease_until_ms, until)
         return until
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -10,6 +10,7 @@
 import pytest
 
 from zinniaweir.dispatch.dispatcher import Dispatcher
+from zinniaweir.dispatch.messages import Listing, WorkerEntry
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node import owner as owner_module
 from zinniaweir.node.answers import (
@@ -530,3 +531,31 @@
             assert not any(workers.leases[polled:])
 
     run(work())
+
+
+def test_lease_ends_one_lease_after_its_poll_was_sent_at_the_latest(memory_log: MemoryLog) -> None:
+    """Guards against a second run of a task because a former owner's poll was carried out late.
+
+    Its deadline is all that bounds the lease then. The worker's clock is known only with the
+    error of a slow answer.
+    """
+
+    class SlowWorkers(MemoryWorkers):
+        async def poll(
+            self, entry: WorkerEntry, *, lease_until_ms: int | None, **options: Any
+        ) -> Listing:
+            if lease_until_ms is not None:
+                clock_ms = asyncio.get_running_loop().time() * 1e3
+                leases_ms.append(lease_until_ms - clock_ms)
+            await asyncio.sleep(0.3)
+            return await super().poll(entry, lease_until_ms=lease_until_ms, **options)
+
+    leases_ms: list[float] = []
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        async with running(new_node("v1", memory_log, SlowWorkers())):
+            await until(lambda: len(leases_ms) > 2)
+        assert max(leases_ms) <= TimeLimits().lease_seconds * 1e3
+
+    run(work())
