--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -61,7 +61,7 @@
 
     Args:
         now: Current time in seconds, when the ownership began.
-        predecessor_ended: Whether the previous owner has provably ended.
+        predecessor_ended: Whether no previous owner can renew a lease any more.
         time_limits: Durations that limit leases and retention.
         reporter: Receives log events, counts and durations.
     """
@@ -105,7 +105,6 @@
         self._succession = Succession(
             fleet=self._fleet,
             expiry=self._expiry,
-            max_lease_seconds=time_limits.max_lease_seconds,
             reporter=reporter,
         )
         self._planned_at = float("-inf")
@@ -227,6 +226,7 @@
         answered = self._succession.resolve(worker, listing, poll_sent_at=poll_sent_at, now=now)
         if answered is None:
             return
+        first = answered.listed_at is None
         self._listings.apply(
             answered,
             listing,
@@ -235,6 +235,10 @@
             renewed=renewed and answered is worker,
             now=now,
         )
+        if first:
+            # Leases of previous owners, and those meant for an earlier incarnation, count as well.
+            until_ms = listing.clock_ms + int(self._time_limits.max_lease_seconds * 1e3)
+            answered.lease_until_ms = max(answered.lease_until_ms, until_ms)
 
     def handle_unanswered_poll(self, worker: Worker, *, poll_sent_at: float) -> None:
         """Record that a worker did not answer a poll.
--- a/packages/dispatch/src/zinniaweir/dispatch/succession.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/succession.py
@@ -26,16 +26,12 @@
     Args:
         fleet: The workers.
         expiry: Ends the runs of the earlier incarnation.
-        max_lease_seconds: Longest lease that a worker grants.
         reporter: Receives log events and counts.
     """
 
-    def __init__(
-        self, *, fleet: Fleet, expiry: Expiry, max_lease_seconds: float, reporter: Reporter
-    ) -> None:
+    def __init__(self, *, fleet: Fleet, expiry: Expiry, reporter: Reporter) -> None:
         self._fleet = fleet
         self._expiry = expiry
-        self._max_lease_seconds = max_lease_seconds
         self._log = reporter.log
         self._count = reporter.count
 
@@ -94,8 +90,6 @@
             unlisted_incarnation=listing.incarnation,
             ended_incarnations=worker.ended_incarnations | {worker.incarnation},
             missing_since=worker.missing_since,
-            # It may have carried out a renewal by the clock of the earlier incarnation.
-            lease_until_ms=listing.clock_ms + int(self._max_lease_seconds * 1e3),
         )
         announced = worker.announced
         if announced is None:
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -34,21 +34,27 @@
         log_port: The platform's log.
         epoch: The owner's epoch.
         sequence: Sequence number of the epoch's first append, the claim.
+        claimed_at: When the claim was first sent, in seconds of `boottime`.
         counters: Receives counts of retries.
     """
 
-    def __init__(self, *, log_port: Log, epoch: int, sequence: int, counters: Counters) -> None:
+    def __init__(
+        self, *, log_port: Log, epoch: int, sequence: int, claimed_at: float, counters: Counters
+    ) -> None:
         self._log_port = log_port
         self._epoch = epoch
         self._counters = counters
         self._sequence = sequence
         self._timeout = AdaptiveTimeout()
-        self._confirmed_at = boottime()
+        self._confirmed_at = claimed_at
         self._pending_since: float | None = None
 
     @property
     def confirmed_at(self) -> float:
-        """When the last answered append was sent, in seconds of `boottime`."""
+        """A time in seconds of `boottime` at which no other owner had appended a record.
+
+        It is when the first copy of the last confirmed append was sent that may have taken effect.
+        """
         return self._confirmed_at
 
     @property
@@ -68,6 +74,8 @@
 
     async def _append_batch(self, records: list[KeyedRecord], fence: Fence) -> None:
         self._pending_since = started = boottime()
+        # The log answers a repeated append like the first copy, also after another owner's claim.
+        effective_at: float | None = None
         slow = False
         try:
             while True:
@@ -79,6 +87,7 @@
                 except (NothingDoneError, NoAnswerError) as error:
                     self._counters.add("owner_append_retries", reason=type(error).__name__)
                     if isinstance(error, NoAnswerError):
+                        effective_at = sent_at if effective_at is None else effective_at
                         self._timeout.record_timeout()
                     if not slow and sent_at - started > SLOW_APPEND_SECONDS:
                         slow = True
@@ -86,7 +95,7 @@
                     if isinstance(error, NothingDoneError):
                         await asyncio.sleep(RETRY_DELAY_SECONDS)
                     continue
-                self._confirmed_at = sent_at
+                self._confirmed_at = sent_at if effective_at is None else effective_at
                 self._timeout.record_answer(boottime() - sent_at)
                 return
         finally:
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -13,6 +13,7 @@
 from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.messages import EndedRun, Listing, RunEnd, WorkerEntry
 from zinniaweir.dispatch.time_limits import TimeLimits
+from zinniaweir.node import owner as owner_module
 from zinniaweir.node.answers import (
     Accepted,
     OutcomeUnknown,
@@ -23,7 +24,7 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
-from zinniaweir.node.ports import Log, Stream
+from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
@@ -468,3 +469,135 @@
             )
 
     run(work())
+
+
+@pytest.mark.parametrize("second_ends", ["releases", "restarts"])
+@pytest.mark.parametrize("grace_seconds", [20.0, 0.3])
+def test_last_owners_end_does_not_hide_an_earlier_owner_that_is_cut_off(
+    memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch, second_ends: str, grace_seconds: float
+) -> None:
+    """Guards against a second run of a task while the owner before the last renews its lease.
+
+    The first owner is cut off from the log, and the second ends at once: within the first one's
+    grace, unless that is short.
+    """
+    began: list[bool] = []
+
+    class RecordingDispatcher(Dispatcher):
+        def __init__(self, *, predecessor_ended: bool, **options: Any) -> None:
+            began.append(predecessor_ended)
+            super().__init__(predecessor_ended=predecessor_ended, **options)
+
+    monkeypatch.setattr(owner_module, "Dispatcher", RecordingDispatcher)
+    limits = TimeLimits(renewal_grace_seconds=grace_seconds)
+    logs = [RefusingLog(memory_log), RefusingLog(memory_log)]
+
+    async def work() -> None:
+        first, second = (
+            new_node(f"v{n}", log, MemoryWorkers(), time_limits=limits)
+            for n, log in enumerate(logs)
+        )
+        async with running(first):
+            await until(lambda: first.owner is not None)
+            async with running(second):
+                logs[0].refusing = True
+                await until(lambda: second.owner is not None)
+                await asyncio.sleep(0.7)
+                if second_ends == "releases":
+                    await second.stop()
+                logs[1].refusing = True
+            vm = "v2" if second_ends == "releases" else "v1"
+            third = new_node(vm, memory_log, MemoryWorkers(), time_limits=limits)
+            async with running(third):
+                await until(lambda: third.owner is not None, seconds=1.0)
+        assert began == [True, False, grace_seconds < 1.0]
+
+    run(work())
+
+
+def test_claim_that_is_read_back_late_renews_no_lease_before_it_is_confirmed() -> None:
+    """Guards against a second run of a task while a former owner still renews its lease.
+
+    Its claim took effect long ago, so another VM may have claimed since.
+    """
+
+    class SilentAfterClaimLog(MemoryLog):
+        async def append(
+            self, records: list[KeyedRecord], *, fence: Fence | None = None, **options: Any
+        ) -> int:
+            offset = await super().append(records, fence=fence, **options)
+            if fence is not None:
+                self.down, self.refuse = True, lambda: True
+            return offset
+
+    memory_log, workers = SilentAfterClaimLog(), MemoryWorkers()
+    memory_log.put(Stream.OPERATORS, "config", b"1")
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+    limits = TimeLimits(renewal_grace_seconds=0.3)
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers, time_limits=limits)
+        async with running(node):
+            await until(lambda: memory_log.down)
+            await asyncio.sleep(0.4)
+            memory_log.down = False
+            await until(lambda: len(workers.leases) > 3)
+            assert not any(workers.leases)
+
+    run(work())
+
+
+def test_owner_that_releases_renews_no_lease_and_starts_nothing(memory_log: MemoryLog) -> None:
+    """Guards against a second run of a task on a worker that the next owner does not reach.
+
+    The next owner waits for one lease from its beginning, which may come before the answer to the
+    record of the release.
+    """
+    workers = MemoryWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await until(lambda: any(workers.leases))
+            memory_log.append_seconds = 0.3
+            await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline())
+            await until(lambda: node.view.job_table.get("a1") is not None)
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(node.stop())
+            await asyncio.sleep(0)
+            started, polled = len(workers.started), len(workers.leases)
+            await stopping
+            assert workers.started[started:] == []
+            assert len(workers.leases) > polled + 3
+            assert not any(workers.leases[polled:])
+
+    run(work())
+
+
+def test_lease_ends_one_lease_after_its_poll_was_sent_at_the_latest(memory_log: MemoryLog) -> None:
+    """Guards against a second run of a task because a former owner's poll was carried out late.
+
+    Its deadline is all that bounds the lease then. The worker's clock is known only with the
+    error of a slow answer.
+    """
+
+    class SlowWorkers(MemoryWorkers):
+        async def poll(
+            self, entry: WorkerEntry, *, lease_until_ms: int | None, **options: Any
+        ) -> Listing:
+            if lease_until_ms is not None:
+                clock_ms = asyncio.get_running_loop().time() * 1e3
+                leases_ms.append(lease_until_ms - clock_ms)
+            await asyncio.sleep(0.3)
+            return await super().poll(entry, lease_until_ms=lease_until_ms, **options)
+
+    leases_ms: list[float] = []
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        async with running(new_node("v1", memory_log, SlowWorkers())):
+            await until(lambda: len(leases_ms) > 2)
+        assert max(leases_ms) <= TimeLimits().lease_seconds * 1e3
+
+    run(work())
