node: an unexpected error of one worker or one command does not end the ownership

Cause: Owner._on_task_done ended the ownership on any error of any task. The next owner meets the same worker. Change: only an error of the plan loop or the record loop ends the ownership. Evidence: before, test_worker_whose_polls_fail_unexpectedly_is_set_aside, both cases of test_command_that_fails_unexpectedly_is_sent_again and the new cases prepare_start and handle_start_answer of test_an_unexpected_error_does_not_end_the_ownership failed. test_error_of_the_record_loop_ends_the_ownership passed before, too.

--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -160,7 +160,7 @@
             self.add_job(entry)
         try:
             for loop in (self._plan_loop(), self._record_loop()):
-                self._spawn(loop)
+                self._spawn(loop).add_done_callback(self._on_loop_done)
             await self._end_requested.wait()
         finally:
             for task in list(self._tasks):
@@ -177,18 +177,22 @@
         self._record_wake.set()
         await self._end_requested.wait()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """Report the error of a task; that of one worker or command ends nothing else."""
         self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
+        error = None if task.cancelled() else task.exception()
         if error is not None:
             self._report_fault(error)
+
+    def _on_loop_done(self, task: asyncio.Task[None]) -> None:
+        """End the ownership if a loop on which all jobs depend failed."""
+        if not task.cancelled() and task.exception() is not None:
             self._end_requested.set()
 
     def _report_fault(self, error: BaseException, **context: str) -> None:
@@ -227,7 +231,7 @@
         for worker in dispatcher.fleet:
             if self._polled.get(worker.name) is not worker:
                 self._polled[worker.name] = worker
-                self._spawn(self._poll_worker(worker))
+                self._spawn(self._keep_polling(worker))
 
     def _send_commands(self, now: float) -> None:
         dispatcher = self._dispatcher
@@ -248,8 +252,27 @@
             self._spawn(self._stop_orphan_run(worker, task, run))
 
     def _send_start(self, assignment: Assignment, now: float) -> None:
-        if self._dispatcher.prepare_start(assignment, now=now):
-            self._spawn(self._start(assignment))
+        try:
+            allowed = self._dispatcher.prepare_start(assignment, now=now)
+        except Exception as error:
+            self._report_fault(error, action="prepare_start", worker=assignment.worker)
+            # It counts as sent, so the next try is not made before the retry interval is over.
+            assignment.sent_at = now
+            return
+        if allowed:
+            self._spawn(self._try_start(assignment))
+
+    async def _try_start(self, assignment: Assignment) -> None:
+        """Send a start; after an unexpected error it may have arrived, and is sent again later."""
+        try:
+            await self._start(assignment)
+        except Exception as error:
+            self._report_fault(error, action="start", worker=assignment.worker)
+            await asyncio.sleep(FAULT_DELAY_SECONDS)
+            if assignment.start_in_flight:
+                self._dispatcher.handle_start_answer(
+                    assignment, StartAnswer.UNKNOWN, now=boottime()
+                )
 
     async def _start(self, assignment: Assignment) -> None:
         worker = self._dispatcher.fleet.get(assignment.worker)
@@ -291,6 +314,10 @@
         except WorkerCallError as error:
             self._counters.add("stop_failures", reason=type(error).__name__)
             return False
+        except Exception as error:
+            self._report_fault(error, action="stop", worker=worker.name)
+            await asyncio.sleep(FAULT_DELAY_SECONDS)
+            return False
         return True
 
     def _on_fenced(self, worker: Worker) -> None:
@@ -298,6 +325,18 @@
         log("owner_fenced", by=worker.name, epoch=self.epoch)
         self._end_requested.set()
 
+    async def _keep_polling(self, worker: Worker) -> None:
+        """Poll a worker; after an unexpected error it counts as silent, and is asked again."""
+        while self._dispatcher.fleet.get(worker.name) is worker:
+            poll_sent_at = boottime()
+            try:
+                await self._poll_worker(worker)
+                return
+            except Exception as error:
+                self._report_fault(error, action="poll", worker=worker.name)
+                self._dispatcher.handle_unanswered_poll(worker, poll_sent_at=poll_sent_at)
+                await asyncio.sleep(FAULT_DELAY_SECONDS)
+
     async def _poll_worker(self, worker: Worker) -> None:
         """Poll one incarnation of a worker until it is replaced or removed.
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -5,11 +5,13 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from zinniaweir.dispatch.dispatcher import Dispatcher
+from zinniaweir.dispatch.messages import ActiveRun, Listing, StartAnswer, TaskId, WorkerEntry
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node.answers import (
     Accepted,
@@ -21,7 +23,9 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
+from zinniaweir.node.owner import FAULT_DELAY_SECONDS
 from zinniaweir.node.ports import Log, Stream
+from zinniaweir.node.recorder import Recorder
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
@@ -293,7 +297,9 @@
     run(work())
 
 
-@pytest.mark.parametrize("action", ["plan", "handle_listing", "add_job"])
+@pytest.mark.parametrize(
+    "action", ["plan", "handle_listing", "add_job", "prepare_start", "handle_start_answer"]
+)
 def test_an_unexpected_error_does_not_end_the_ownership(
     memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch, action: str
 ) -> None:
@@ -325,6 +331,101 @@
     run(work())
 
 
+class FaultyWorkers(MemoryWorkers):
+    """Workers of which one causes an unexpected error in one kind of call."""
+
+    def __init__(self, action: str, times: int) -> None:
+        super().__init__()
+        self._action = action
+        self._times = times
+        self.faults = 0
+        self.stopped: list[TaskId] = []
+
+    def _fail(self, action: str, worker: str) -> None:
+        if action == self._action and worker == "w1" and self.faults < self._times:
+            self.faults += 1
+            raise OverflowError("unexpected")
+
+    async def start(self, entry: WorkerEntry, task: TaskId, **options: Any) -> StartAnswer:
+        self._fail("start", entry.worker)
+        return await super().start(entry, task, **options)
+
+    async def stop(self, entry: WorkerEntry, task: TaskId, **options: Any) -> None:
+        self._fail("stop", entry.worker)
+        self.stopped.append(task)
+
+    async def poll(self, entry: WorkerEntry, **options: Any) -> Listing:
+        self._fail("poll", entry.worker)
+        listing = await super().poll(entry, **options)
+        running = tuple(
+            ActiveRun(task=task, run=run, checkpoint="", percent=1)
+            for worker, task, run, _ in self.started
+            if worker == entry.worker and task not in self.stopped
+        )
+        return replace(listing, running=running)
+
+
+def test_worker_whose_polls_fail_unexpectedly_is_set_aside(memory_log: MemoryLog) -> None:
+    """Guards against one worker that ends each ownership in turn, or is asked without a pause."""
+    workers = FaultyWorkers("poll", times=1_000)
+    for name in ("w1", "w2"):
+        memory_log.put(Stream.WORKERS, name, b"ok")
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await until(lambda: workers.faults > 0)
+            owner = node.owner
+            await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline())
+            await until(lambda: [start[0] for start in workers.started] == ["w2"])
+            await asyncio.sleep(2 * FAULT_DELAY_SECONDS)
+            assert node.owner is owner is not None
+            assert 2 <= workers.faults <= 6
+
+    run(work())
+
+
+@pytest.mark.parametrize("action", ["start", "stop"])
+def test_command_that_fails_unexpectedly_is_sent_again(memory_log: MemoryLog, action: str) -> None:
+    """Guards against one command that ends the ownership, or is never repeated."""
+    workers = FaultyWorkers(action, times=2)
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            owner = node.owner
+            await node.service.submit(PARISH, TERMS, "a1", SPEC, deadline=deadline())
+            await until(lambda: len(workers.started) == 1)
+            await node.service.cancel(PARISH, "a1", deadline=deadline())
+            await until(lambda: [task.job_id for task in workers.stopped] == ["a1"])
+            assert node.owner is owner is not None
+            assert workers.faults == 2
+
+    run(work())
+
+
+def test_error_of_the_record_loop_ends_the_ownership(
+    memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an owner that records nothing any more and is not replaced."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            owner = node.owner
+            with monkeypatch.context() as patch:
+                patch.setattr(Recorder, "write", fail)
+                await until(lambda: node.owner is not owner)
+
+    async def fail(*_args: Any) -> None:
+        raise OverflowError("unexpected")
+
+    run(work())
+
+
 def test_a_worker_that_may_be_lost_gets_no_longer_lease(memory_log: MemoryLog) -> None:
     """Guards against tasks of a lost worker that wait for a lease that was renewed in vain."""
     workers = MemoryWorkers()
