node: an unexpected error of a read ends neither a follower nor the process

What callers saw: processes that ended by themselves, again after each restart, or an owner that followed the list of workers no more: an answer of the log that the adapter could not decode raised another error than LogError. Cause: Follower.run() handled LogError alone; the followers of jobs and settings run in the process's task group. The one of workers is a task that nobody waits for, so it ended silently. Change: an unexpected error of a call counts as no answer, also in catch_up(); any other one is reported and the stream is read again after 0.5 s. Both are counted (`read_faults`) and logged (`read_fault`). A stream counts as loaded before on_fresh is called, so an error there can't leave loaded() waiting. Evidence: the three cases of test_unexpected_error_of_a_read_does_not_end_the_follower and test_unexpected_error_of_a_read_is_no_answer_for_who_catches_up failed before.

--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeVar
 
 from zinniaweir.node.adaptive_timeout import AdaptiveTimeout
 from zinniaweir.node.boottime import boottime
@@ -28,6 +28,10 @@
 """
 LOST_AFTER_SECONDS: Final = 1.0
 """A stream without a successful read for this long is logged as a lost dependency."""
+FAULT_DELAY_SECONDS: Final = 0.5
+"""Delay after an unexpected error before the stream is read again."""
+
+T = TypeVar("T")
 
 
 class Follower:
@@ -105,6 +109,10 @@
                 self._on_failure(error)
                 await asyncio.sleep(backoff * random.uniform(0.5, 1.0))
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+            except Exception as error:
+                # The process would end, and end again on the same input after each restart.
+                self._report_fault(error)
+                await asyncio.sleep(FAULT_DELAY_SECONDS)
 
     async def catch_up(self) -> None:
         """Apply all records that are on the log at the time of the call.
@@ -130,19 +138,20 @@
     async def _load_pages(self) -> None:
         sent_at = boottime()
         records: list[KeyedRecord] = []
-        page = await self._log_port.newest(self._stream)
+        page = await self._call(self._log_port.newest(self._stream))
         end = page.end
         records += page.records
         while page.more and page.records:
-            page = await self._log_port.newest(self._stream, after=page.records[-1].key)
+            after = page.records[-1].key
+            page = await self._call(self._log_port.newest(self._stream, after=after))
             records += page.records
         self._reset()
         for record in records:
             self._apply_record(record)
         self._next_offset = end
         self._complete = True
-        self._on_read(sent_at)
         self._loaded.set()
+        self._on_read(sent_at)
         log("stream_loaded", stream=self._stream, records=len(records), offset=end)
 
     async def _read(self, wait_seconds: float) -> None:
@@ -152,11 +161,13 @@
             return
         sent_at = boottime()
         try:
-            tail = await self._log_port.read(
-                self._stream,
-                start,
-                wait_seconds=wait_seconds,
-                timeout_seconds=self._timeout.seconds,
+            tail = await self._call(
+                self._log_port.read(
+                    self._stream,
+                    start,
+                    wait_seconds=wait_seconds,
+                    timeout_seconds=self._timeout.seconds,
+                )
             )
         except NoAnswerError:
             self._timeout.record_timeout()
@@ -173,6 +184,20 @@
         self._complete = tail.complete
         self._on_read(sent_at)
 
+    async def _call(self, call: Awaitable[T]) -> T:
+        """Return the result of a call to the log; an unexpected error counts as no answer."""
+        try:
+            return await call
+        except LogError:
+            raise
+        except Exception as error:
+            self._report_fault(error)
+            raise NoAnswerError(f"the log's answer caused {error!r}") from error
+
+    def _report_fault(self, error: Exception) -> None:
+        self._counters.add("read_faults", reason=type(error).__name__)
+        log("read_fault", stream=self._stream, offset=self._next_offset, error=repr(error))
+
     def _apply_record(self, record: KeyedRecord) -> None:
         """Apply a record; one that causes an unexpected error is skipped.
 
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+
+import pytest
 
 from zinniaweir.node.follower import Follower
-from zinniaweir.node.ports import KeyedRecord, Page, Stream, Tail, TrimmedError
+from zinniaweir.node.ports import KeyedRecord, NoAnswerError, Page, Stream, Tail, TrimmedError
 from zinniaweir.telemetry.counters import Counters
 
 from .conftest import MemoryLog
 
-if TYPE_CHECKING:
-    import pytest
-
 
 class Fold:
     """The newest value of each key, as the follower applied it."""
@@ -219,3 +217,64 @@
         running.cancel()
 
     asyncio.run(work())
+
+
+class FaultyLog(MemoryLog):
+    """A log of which one call causes an error that is no `LogError`."""
+
+    def __init__(self, fault: str) -> None:
+        super().__init__()
+        self.fault = fault
+
+    async def newest(self, stream: Stream, *, after: str = "") -> Page:
+        self._fail("newest")
+        return await super().newest(stream, after=after)
+
+    async def read(
+        self, stream: Stream, start: int, *, wait_seconds: float, timeout_seconds: float
+    ) -> Tail:
+        self._fail("read")
+        return await super().read(
+            stream, start, wait_seconds=wait_seconds, timeout_seconds=timeout_seconds
+        )
+
+    def _fail(self, call: str) -> None:
+        if call == self.fault:
+            self.fault = ""
+            raise OverflowError("unexpected")
+
+
+@pytest.mark.parametrize("fault", ["newest", "read", "on_fresh"])
+def test_unexpected_error_of_a_read_does_not_end_the_follower(fault: str) -> None:
+    """Guards against an answer that ends the process of every VM, again after each restart."""
+
+    async def work() -> None:
+        log, fold = FaultyLog(fault), Fold()
+        log.put(Stream.JOBS, "a", b"1")
+        stream_follower = follower(log, fold)
+        if fault == "on_fresh":
+            stream_follower.on_fresh = lambda _since, _at: log._fail("on_fresh")
+        running = asyncio.create_task(stream_follower.run())
+        async with asyncio.timeout(2.0):
+            await stream_follower.loaded()
+            await asyncio.sleep(0.05)
+            log.put(Stream.JOBS, "b", b"2")
+            while set(fold.values) != {"a", "b"}:
+                await asyncio.sleep(0.01)
+        assert log.fault == ""
+        assert not running.done()
+        running.cancel()
+
+    asyncio.run(work())
+
+
+def test_unexpected_error_of_a_read_is_no_answer_for_who_catches_up() -> None:
+    """Guards against a process that ends because the log's answer confirms its claim oddly."""
+
+    async def work() -> None:
+        stream_follower = follower(FaultyLog("newest"), Fold())
+        with pytest.raises(NoAnswerError):
+            await stream_follower.catch_up()
+        await stream_follower.catch_up()
+
+    asyncio.run(work())
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -30,6 +30,7 @@
     "owner_fenced": "a worker or the log knows a newer owner",
     "owner_superseded": "the log has a newer claim",
     "ownership_ended": "how long an ownership lasted",
+    "read_fault": "reading a stream of the log caused a fault of the program; it is read again",
     "record_fault": "applying a record caused a fault of the program; the record is skipped",
     "record_ignored": "a record could not be read or is of no known kind",
     "release_failed": "a planned stop could not release the ownership",
