node: an invalid entry replaces the former one of its worker

What callers saw: nothing yet; found by reading. Cause: View ignored an invalid entry as if it had not been written; a load of the newest records leaves it out. Change: the former entry is dropped. Nothing starts on the worker until its next valid report; what runs there runs on, since the worker is polled while it answers. Evidence: test_invalid_entry_replaces_the_former_one_of_its_worker[False] failed before; [True], after a load, passed.

--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -217,7 +217,11 @@
         else:
             entry = self._decoder.worker(record)
             if entry is None:
+                # What it says now cannot be read and may be that it drains, so its former entry
+                # does not hold either, as after a reload of the list.
                 self._ignore_record(Stream.WORKERS, record, "invalid worker entry")
+                self._workers.pop(record.key, None)
+                self.on_change()
                 return
             before = self._workers.get(record.key)
             if before is not None and entry.is_older_than(before):
