--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -172,7 +172,7 @@
             self.add_job(entry)
         try:
             for loop in (self._plan_loop(), self._record_loop()):
-                self._spawn(loop)
+                self._spawn(loop).add_done_callback(self._on_loop_done)
             await self._end_requested.wait()
         finally:
             for task in list(self._tasks):
@@ -190,18 +190,22 @@
         self._record_wake.set()
         await self._end_requested.wait()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """Report the error of a task; that of one worker or command ends nothing else."""
         self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
+        error = None if task.cancelled() else task.exception()
         if error is not None:
             self._report_fault(error)
+
+    def _on_loop_done(self, task: asyncio.Task[None]) -> None:
+        """End the ownership if a loop on which all jobs depend failed."""
+        if not task.cancelled() and task.exception() is not None:
             self._end_requested.set()
 
     def _report_fault(self, error: BaseException, **context: str) -> None:
@@ -240,10 +244,10 @@
         for worker in dispatcher.fleet:
             if self._polled.get(worker.name) is not worker:
                 self._polled[worker.name] = worker
-                self._spawn(self._poll_worker(worker))
+                self._spawn(self._keep_polling(worker))
             if worker.announced is not None and self._asked.get(worker.name) is not worker:
                 self._asked[worker.name] = worker
-                self._spawn(self._ask_announced(worker))
+                self._spawn(self._try_asking(worker))
 
     def _send_commands(self, now: float) -> None:
         dispatcher = self._dispatcher
@@ -264,8 +268,29 @@
             self._spawn(self._stop_orphan_run(worker, task, run))
 
     def _send_start(self, assignment: Assignment, now: float) -> None:
-        if not self._releasing and self._dispatcher.prepare_start(assignment, now=now):
-            self._spawn(self._start(assignment))
+        if self._releasing:
+            return
+        try:
+            allowed = self._dispatcher.prepare_start(assignment, now=now)
+        except Exception as error:
+            self._report_fault(error, action="prepare_start", worker=assignment.worker)
+            # It counts as sent, so the next try is not made before the retry interval is over.
+            assignment.sent_at = now
+            return
+        if allowed:
+            self._spawn(self._try_start(assignment))
+
+    async def _try_start(self, assignment: Assignment) -> None:
+        """Send a start; after an unexpected error it may have arrived, and is sent again later."""
+        try:
+            await self._start(assignment)
+        except Exception as error:
+            self._report_fault(error, action="start", worker=assignment.worker)
+            await asyncio.sleep(FAULT_DELAY_SECONDS)
+            if assignment.start_in_flight:
+                self._dispatcher.handle_start_answer(
+                    assignment, StartAnswer.UNKNOWN, now=boottime()
+                )
 
     async def _start(self, assignment: Assignment) -> None:
         worker = self._dispatcher.fleet.get(assignment.worker)
@@ -307,6 +332,10 @@
         except WorkerCallError as error:
             self._counters.add("stop_failures", reason=type(error).__name__)
             return False
+        except Exception as error:
+            self._report_fault(error, action="stop", worker=worker.name)
+            await asyncio.sleep(FAULT_DELAY_SECONDS)
+            return False
         return True
 
     def _on_fenced(self, worker: Worker) -> None:
@@ -314,6 +343,18 @@
         log("owner_fenced", by=worker.name, epoch=self.epoch)
         self._end_requested.set()
 
+    async def _keep_polling(self, worker: Worker) -> None:
+        """Poll a worker; after an unexpected error it counts as silent, and is asked again."""
+        while self._dispatcher.fleet.get(worker.name) is worker:
+            poll_sent_at = boottime()
+            try:
+                await self._poll_worker(worker)
+                return
+            except Exception as error:
+                self._report_fault(error, action="poll", worker=worker.name)
+                self._dispatcher.handle_unanswered_poll(worker, poll_sent_at=poll_sent_at)
+                await asyncio.sleep(FAULT_DELAY_SECONDS)
+
     async def _poll_worker(self, worker: Worker) -> None:
         """Poll one incarnation of a worker until it is replaced or removed.
 
@@ -363,6 +404,15 @@
             if worker.applied_end > worker.acknowledged_end:
                 await asyncio.sleep(self._unacknowledged_delay)
 
+    async def _try_asking(self, worker: Worker) -> None:
+        """Ask which incarnation of a worker runs; after an unexpected error it is asked again."""
+        try:
+            await self._ask_announced(worker)
+        except Exception as error:
+            self._report_fault(error, action="ask", worker=worker.name)
+            await asyncio.sleep(FAULT_DELAY_SECONDS)
+            self._asked.pop(worker.name, None)
+
     async def _ask_announced(self, worker: Worker) -> None:
         """Ask which incarnation of a worker runs, since the platform's list shows another one.
 
