platform, dispatch, node: an odd row of a worker's list is set aside, and its other rows hold

One row of another type, deeply nested, or with a number too large voided the whole list, so the worker looked silent, its lease lapsed and its tasks ran elsewhere. A running row with a readable task counts as present even if its run can't be read. Lists with such rows are counted (`invalid_rows`), logged (`rows_ignored`), and followed by a delay of 0.4 s, since a worker with an end that can't be acknowledged answers each poll at once.

--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -74,12 +74,18 @@
         worker.listed_at = poll_sent_at
         if listing.unrecognized_runs:
             self._count("strange_runs", "listed")
+        if listing.invalid_rows:
+            self._count("invalid_rows", "listed")
+            self._log("rows_ignored", worker=worker.name, rows=listing.invalid_rows)
         for row in listing.ended:
             self._handle_ended_run(worker, row, now)
         present = set()
         for row in listing.running:
             present.add((row.task, row.run))
             self._handle_active_run(worker, row, now)
+        for task, run in (*worker.orphan_runs, *worker.assignments):
+            if task in listing.running_tasks:
+                present.add((task, run))
         for key, orphan_run in list(worker.orphan_runs.items()):
             settled = orphan_run.settled_at is not None and orphan_run.settled_at < poll_sent_at
             if key not in present and settled:
--- a/packages/dispatch/src/zinniaweir/dispatch/messages.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/messages.py
@@ -70,6 +70,10 @@
     ended: tuple[EndedRun, ...]
     unrecognized_runs: int = 0
     """Number of running entries whose name is not a valid task id."""
+    running_tasks: frozenset[TaskId] = frozenset()
+    """Tasks that run there with a number of the run that cannot be read."""
+    invalid_rows: int = 0
+    """Number of entries of which a part cannot be read; the others hold."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -70,6 +70,31 @@
     assert worker.acknowledged_end == 1
 
 
+def test_run_that_is_listed_without_a_readable_number_is_not_taken_for_gone(
+    cluster: Cluster,
+) -> None:
+    """Guards against TWICE: a run whose row can be read in part only starts elsewhere."""
+    cluster.add(job("j1"))
+    cluster.run(0.5)
+    (assignment,) = cluster.assignments("j1")
+    worker = cluster.dispatcher.fleet.get(assignment.worker)
+    assert worker is not None
+    for running_tasks in (frozenset({assignment.task}), frozenset()):
+        listing = Listing(
+            incarnation=1,
+            clock_ms=int(cluster.now * 1e3),
+            running=(),
+            ended=(),
+            running_tasks=running_tasks,
+            invalid_rows=1,
+        )
+        cluster.dispatcher.handle_listing(
+            worker, listing, poll_sent_at=cluster.now + 0.1, renewed=False, now=cluster.now + 0.2
+        )
+        assert bool(list(cluster.assignments("j1"))) == bool(running_tasks)
+    assert cluster.counts.count(("invalid_rows", "listed")) == 2
+
+
 def test_start_without_answer_holds_resources_until_its_deadline(cluster: Cluster) -> None:
     """Guards against a task that runs twice because its first start was carried out late.
 
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -61,6 +61,8 @@
 
 It does so if an append takes longer than this.
 """
+INVALID_ROWS_DELAY_SECONDS: Final = 0.4
+"""Delay between polls of a worker whose list has rows that cannot be read."""
 FAULT_DELAY_SECONDS: Final = 0.5
 """Delay after an unexpected error before the failed action is tried again."""
 START_RETRY_INTERVAL_SECONDS: Final = 0.3
@@ -396,6 +398,9 @@
             )
             if worker.applied_end > worker.acknowledged_end:
                 await asyncio.sleep(self._unacknowledged_delay)
+            elif listing.invalid_rows:
+                # An end without a number is never acknowledged, so no poll would wait any more.
+                await asyncio.sleep(INVALID_ROWS_DELAY_SECONDS)
 
     async def _try_asking(self, worker: Worker) -> None:
         """Ask which incarnation of a worker runs; after an unexpected error it is asked again."""
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -31,7 +31,7 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
-from zinniaweir.node.owner import FAULT_DELAY_SECONDS
+from zinniaweir.node.owner import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
 from zinniaweir.node.ports import Log, Stream
 from zinniaweir.node.recorder import Recorder
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
@@ -414,6 +414,28 @@
     run(work())
 
 
+def test_worker_with_an_end_that_cannot_be_acknowledged_is_polled_with_pauses(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against polls without a pause: the worker answers each at once to list the end."""
+
+    class OddWorkers(MemoryWorkers):
+        async def poll(self, entry: WorkerEntry, **options: Any) -> Listing:
+            return replace(await super().poll(entry, **options), invalid_rows=1)
+
+    workers = OddWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        async with running(new_node("v1", memory_log, workers)):
+            await until(lambda: bool(workers.leases))
+            before = len(workers.leases)
+            await asyncio.sleep(4 * INVALID_ROWS_DELAY_SECONDS)
+            assert 2 <= len(workers.leases) - before <= 5
+
+    run(work())
+
+
 def test_error_of_the_record_loop_ends_the_ownership(
     memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch
 ) -> None:
