scheduler, wire: ends on a worker that restarted while it was idle are reported

A job whose worker had restarted while nothing ran on it stayed "running" for ever: its end was never reported to the owner of the region, although the worker listed it.

A worker numbers its events anew after a restart. The link kept the last number of the former incarnation, unless it missed a gang, and asked for later events only, so the worker took its new ends for acknowledged.

Workers now name their incarnation, a random text that is compared for equality only, in the answers to Sync and List. Sync carries the incarnation that its number belongs to; a worker of another one refuses it with `other_incarnation`, and the link begins again at 0.

--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -15,7 +15,7 @@
     from collections.abc import Callable
 
     from zinniaweir.scheduler.leases import LeaseSettings
-    from zinniaweir.wire.worker_service import ListReply, Usage, WorkerEvent
+    from zinniaweir.wire.worker_service import ListReply, SyncReply, Usage, WorkerEvent
 
 COMMAND_TIMEOUT_SECONDS: Final = 1.0
 """Timeout of a command. A start must not take effect later than this after it was checked.
@@ -105,6 +105,7 @@
         self._leases = leases
         self._post = post
         self._gangs: set[tuple[str, int]] = set()
+        self._incarnation = ""
         self._sequence = 0
         self._reachable = False
         self._call_failed = False
@@ -154,7 +155,10 @@
         """
         # The sequence of the reply is not adopted, because events after the last sync have yet to
         # be reported.
-        return await self._call("List", ListRequest(epoch=self._epoch), COMMAND_TIMEOUT_SECONDS)
+        request = ListRequest(epoch=self._epoch)
+        reply = await self._call("List", request, COMMAND_TIMEOUT_SECONDS)
+        self._adopt_incarnation(reply.incarnation)
+        return reply
 
     async def retained_events(self) -> list[WorkerEvent]:
         """Return all events that the worker still keeps, including those already reported.
@@ -197,6 +201,7 @@
             gangs=[GangRef(job_id=job_id, attempt=attempt) for job_id, attempt in self._gangs],
             after_sequence=self._sequence,
             wait_seconds=wait if self._reachable else 0.0,
+            incarnation=self._incarnation,
         )
         self._gang_added.clear()
         call = asyncio.ensure_future(self._call("Sync", request, wait + COMMAND_TIMEOUT_SECONDS))
@@ -215,6 +220,8 @@
             call.cancel()
             wake.cancel()
         self._on_reply(reply)
+        if reply.refusal:
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
 
     async def _resume(self) -> bool:
         """Check after a failed call whether the worker answers and still has its gangs.
@@ -243,8 +250,17 @@
             self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
         return True
 
-    def _on_reply(self, reply: Any) -> None:
+    def _adopt_incarnation(self, incarnation: str) -> None:
+        """Note the worker's incarnation; the numbers of its events start anew with each."""
+        if incarnation != self._incarnation:
+            self._incarnation = incarnation
+            self._sequence = 0
+
+    def _on_reply(self, reply: SyncReply) -> None:
         self._answered_at = time.monotonic()
+        self._adopt_incarnation(reply.incarnation)
+        if reply.refusal:
+            return
         if not self._reachable:
             self._reachable = True
             self._post(WorkerReachable(worker=self.worker))
--- a/packages/scheduler/tests/test_worker_link.py
+++ b/packages/scheduler/tests/test_worker_link.py
@@ -19,8 +19,16 @@
     WorkerUnreachableError,
 )
 from zinniaweir.wire.records import JobSpec
-from zinniaweir.wire.service import RemoteError
-from zinniaweir.wire.worker_service import ListReply, SyncReply, TaskStatus, WorkerEvent
+from zinniaweir.wire.service import RemoteError, snake_case
+from zinniaweir.wire.worker_service import (
+    ListReply,
+    ReserveRequest,
+    StartRequest,
+    SyncReply,
+    TaskStatus,
+    WorkerEvent,
+)
+from zinniaweir_standins.worker import WorkerStandin
 
 TIMEOUT = RemoteError(method="Sync", reason="timeout")
 HANG = object()
@@ -46,7 +54,58 @@
         pass
 
 
-def make(client: FakeClient, posted: list[Any], name: str = "w0") -> WorkerLink:
+class RestartingWorker:
+    """Client of a stand-in worker; calls on their way break when it restarts."""
+
+    def __init__(self) -> None:
+        self.standin = WorkerStandin(name="w0", accelerators=2)
+        self._restarted = asyncio.Event()
+
+    async def call(self, name: str, request: Any, *, timeout: float) -> Any:
+        answer = asyncio.ensure_future(getattr(self.standin, snake_case(name))(request))
+        restart = asyncio.ensure_future(self._restarted.wait())
+        try:
+            await asyncio.wait({answer, restart}, return_when=asyncio.FIRST_COMPLETED)
+            if restart.done():
+                raise RemoteError(method=name, reason="broken")
+            return answer.result()
+        finally:
+            answer.cancel()
+            restart.cancel()
+
+    async def start(self, link: WorkerLink, attempt: int = 1) -> str:
+        await link.command("Reserve", reserve(attempt))
+        return await link.command(
+            "Start", StartRequest(epoch=7, job_id="j", attempt=attempt, name="s", lease_seconds=5.0)
+        )
+
+    def end_tasks(self) -> None:
+        for running in list(self.standin._tasks.values()):
+            self.standin._end_task(running, "done", "")
+
+    def restart(self) -> None:
+        self.standin._kill()
+        self._restarted.set()
+        self._restarted = asyncio.Event()
+
+    def close(self) -> None:
+        pass
+
+
+def reserve(attempt: int, member: int = 0) -> ReserveRequest:
+    return ReserveRequest(
+        epoch=7,
+        job_id="j",
+        attempt=attempt,
+        member=member,
+        accelerators=(member,),
+        cores=1,
+        memory_bytes=1,
+        ttl_seconds=5.0,
+    )
+
+
+def make(client: Any, posted: list[Any], name: str = "w0") -> WorkerLink:
     link = WorkerLink(
         worker=name, host="h", port=1, epoch=7, leases=LeaseSettings(), post=posted.append
     )
@@ -131,6 +190,34 @@
     assert [type(message) for message in posted] == [WorkerReachable, WorkerReport]
 
 
+def test_end_on_an_idle_worker_that_restarted_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a job that never ends after its worker restarted while it was idle.
+
+    The numbers of the worker's events start anew, below those that were already reported.
+    """
+    monkeypatch.setattr(module, "RETRY_DELAY_SECONDS", 0.005)
+    posted: list[Any] = []
+
+    async def run() -> None:
+        worker = RestartingWorker()
+        link = make(worker, posted)
+        task = asyncio.create_task(link.run())
+        for attempt in (1, 2):
+            await asyncio.sleep(0.02)
+            await worker.start(link, attempt)
+            worker.end_tasks()
+            await asyncio.sleep(0.02)
+            worker.restart()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+    ends = [e.attempt for m in posted if isinstance(m, WorkerReport) for e in m.events]
+    assert ends == [1, 2]
+
+
 def test_refused_epoch_ends_the_link() -> None:
     """Guards against an owner that goes on after another VM took over the region."""
     posted = run_link(FakeClient(SyncReply(ok=False, refusal="stale_epoch")), 0.05)
--- a/packages/wire/src/zinniaweir/wire/worker_service.py
+++ b/packages/wire/src/zinniaweir/wire/worker_service.py
@@ -99,6 +99,8 @@
     """Sequence number after which events are returned."""
     wait_seconds: float
     """Maximum time to wait for an event."""
+    incarnation: str = ""
+    """Incarnation of the worker to which `after_sequence` belongs; empty for any."""
 
 
 class WorkerEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -132,11 +134,13 @@
 
     ok: bool
     refusal: str = ""
-    """Either `stale_epoch` or empty."""
+    """One of `stale_epoch`, `other_incarnation` or empty."""
     epoch: int = 0
     """Highest epoch that the worker has received."""
+    incarnation: str = ""
+    """Incarnation of the worker; compared for equality only."""
     sequence: int = 0
-    """Sequence number of the newest event."""
+    """Sequence number of the newest event; a restart begins anew."""
     events: list[WorkerEvent] = []
     usage: list[Usage] = []
 
@@ -155,6 +159,8 @@
     """Either `stale_epoch` or empty."""
     epoch: int = 0
     """Highest epoch that the worker has received."""
+    incarnation: str = ""
+    """Incarnation of the worker."""
     sequence: int = 0
     """Sequence number of the newest event."""
     tasks: list[TaskStatus] = []
--- a/standins/src/zinniaweir_standins/worker.py
+++ b/standins/src/zinniaweir_standins/worker.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import secrets
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -89,14 +90,15 @@
         fail_all: Every running task fails.
         fail_starts: Starts are refused.
         ignore_checkpoint: Checkpoint commands have no effect.
-        killed: The worker loses its tasks, events and epoch, as in a crash; the recorded history
-            is kept.
+        killed: The worker loses its tasks, events and epoch, and begins another incarnation, as
+            after a crash; the recorded history is kept.
     """
 
     def __init__(self, *, name: str, accelerators: int) -> None:
         self._name = name
         self._accelerators = accelerators
         self._epoch = 0
+        self._incarnation = _new_incarnation()
         self._tasks: dict[tuple[str, int, int], Task] = {}
         self._events: list[WorkerEvent] = []
         self._changed = asyncio.Event()
@@ -193,8 +195,8 @@
     async def sync(self, request: SyncRequest) -> SyncReply:
         """Renew the leases of gangs and return events, waiting for new ones if asked to."""
         await self.faults.before("sync")
-        if request.epoch < self._epoch:
-            return SyncReply(ok=False, refusal="stale_epoch", epoch=self._epoch)
+        if refusal := self._check_sync(request):
+            return refusal
         self._epoch = request.epoch
         until = time.monotonic() + request.lease_seconds
         for gang in request.gangs:
@@ -204,12 +206,13 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), request.wait_seconds)
             await self.faults.before("sync")
-            if request.epoch < self._epoch:
-                return SyncReply(ok=False, refusal="stale_epoch", epoch=self._epoch)
+            if refusal := self._check_sync(request):
+                return refusal
         self.faults.after("sync")
         return SyncReply(
             ok=True,
             epoch=self._epoch,
+            incarnation=self._incarnation,
             sequence=self._sequence,
             events=[event for event in self._events if event.sequence > request.after_sequence],
             usage=self._usage(),
@@ -225,6 +228,7 @@
         return ListReply(
             ok=True,
             epoch=self._epoch,
+            incarnation=self._incarnation,
             sequence=self._sequence,
             tasks=[
                 TaskStatus(
@@ -267,6 +271,7 @@
         self._tasks.clear()
         self._events.clear()
         self._epoch = 0
+        self._incarnation = _new_incarnation()
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -341,6 +346,18 @@
         self._epoch = epoch
         return None
 
+    def _check_sync(self, request: SyncRequest) -> SyncReply | None:
+        refusal = ""
+        if request.epoch < self._epoch:
+            refusal = "stale_epoch"
+        elif request.incarnation not in ("", self._incarnation):
+            refusal = "other_incarnation"
+        if not refusal:
+            return None
+        return SyncReply(
+            ok=False, refusal=refusal, epoch=self._epoch, incarnation=self._incarnation
+        )
+
     def _refuse(self, refusal: str) -> CommandReply:
         return CommandReply(ok=False, refusal=refusal, epoch=self._epoch)
 
@@ -359,6 +376,10 @@
         ]
 
 
+def _new_incarnation() -> str:
+    return secrets.token_hex(8)
+
+
 def _task_key(task: Task) -> tuple[str, int, int]:
     return (task.request.job_id, task.request.attempt, task.request.member)
 
