scheduler, wire: gangs that ended with a former incarnation of a worker are lost

A job counted as running for ever, with the other members of its gang renewed, when one of its workers restarted before the owner began to renew the gang there: while other workers had not answered the start (up to 1 s), or between the inventory of a new owner and its first long poll (up to 4 s, when another worker is silent). An inherited assignment was attached to the restarted worker as if it still ran.

The link looked for missing gangs only after a failed call and only among the gangs that it renewed at that moment. The failed call came before the gang was added; the next calls succeeded.

The link now notes the incarnation that answered the reservation of a gang, or the list of the inventory, and takes the gang for lost as soon as the worker answers as another one. Answers to commands name the incarnation. The check by missing gangs stays for workers that name none.

Both forms of the test failed before the change: no loss was reported.

--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -9,10 +9,16 @@
 
 from zinniaweir.telemetry.logs import log
 from zinniaweir.wire.service import RemoteError, ServiceClient
-from zinniaweir.wire.worker_service import WORKER_SERVICE, GangRef, ListRequest, SyncRequest
+from zinniaweir.wire.worker_service import (
+    WORKER_SERVICE,
+    GangRef,
+    ListRequest,
+    ReserveRequest,
+    SyncRequest,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from zinniaweir.scheduler.leases import LeaseSettings
     from zinniaweir.wire.worker_service import ListReply, SyncReply, Usage, WorkerEvent
@@ -104,7 +110,8 @@
         self._epoch = epoch
         self._leases = leases
         self._post = post
-        self._gangs: set[tuple[str, int]] = set()
+        self._gangs: dict[tuple[str, int], str] = {}
+        self._reserved: dict[tuple[str, int], str] = {}
         self._incarnation = ""
         self._sequence = 0
         self._reachable = False
@@ -124,13 +131,19 @@
             self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
 
     def start_renewing(self, job_id: str, attempt: int) -> None:
-        """Include a gang in lease renewals, starting at once."""
-        self._gangs.add((job_id, attempt))
+        """Include a gang in lease renewals, starting at once.
+
+        It belongs to the incarnation that reserved it, or else to the one that last answered
+        `list`, and is lost when the worker answers as another one.
+        """
+        key = (job_id, attempt)
+        self._gangs[key] = self._reserved.pop(key, self._incarnation)
         self._gang_added.set()
 
     def stop_renewing(self, job_id: str, attempt: int) -> None:
         """Exclude a gang from lease renewals."""
-        self._gangs.discard((job_id, attempt))
+        self._gangs.pop((job_id, attempt), None)
+        self._reserved.pop((job_id, attempt), None)
 
     async def command(self, name: str, request: Any) -> str:
         """Send a command and return the reason of its refusal, empty if it was executed.
@@ -144,6 +157,9 @@
             WorkerUnreachableError: If it did not answer.
         """
         reply = await self._call(name, request, COMMAND_TIMEOUT_SECONDS)
+        if isinstance(request, ReserveRequest) and not reply.refusal:
+            key = (request.job_id, request.attempt)
+            self._reserved.setdefault(key, reply.incarnation)
         return reply.refusal
 
     async def list(self) -> ListReply:
@@ -195,10 +211,14 @@
             # answer is detected in time to stop the other members of its gangs within the first
             # lease.
             wait = max(0.0, self._leases.renew_seconds - COMMAND_TIMEOUT_SECONDS)
+        gangs = dict(self._gangs)
+        if any(incarnation != self._incarnation for incarnation in gangs.values()):
+            # A gang of another incarnation is lost, or this link has yet to learn of a restart.
+            wait = 0.0
         request = SyncRequest(
             epoch=self._epoch,
             lease_seconds=self._leases.lease_seconds,
-            gangs=[GangRef(job_id=job_id, attempt=attempt) for job_id, attempt in self._gangs],
+            gangs=[GangRef(job_id=job_id, attempt=attempt) for job_id, attempt in gangs],
             after_sequence=self._sequence,
             wait_seconds=wait if self._reachable else 0.0,
             incarnation=self._incarnation,
@@ -219,7 +239,7 @@
         finally:
             call.cancel()
             wake.cancel()
-        self._on_reply(reply)
+        self._on_reply(reply, gangs)
         if reply.refusal:
             await asyncio.sleep(RETRY_DELAY_SECONDS)
 
@@ -243,22 +263,31 @@
             return False
         self._call_failed = False
         known = {(one.job_id, one.attempt) for one in (*events, *reply.tasks)}
-        if gangs & self._gangs - known:
-            log("worker_restarted", worker=self.worker)
-            self._sequence = 0
-            self._reachable = False
-            self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
+        self._report_lost_gangs(gangs & self._gangs.keys() - known)
         return True
 
+    def _report_lost_gangs(self, lost: set[tuple[str, int]]) -> None:
+        """Report the worker as lost if gangs ended with a former incarnation."""
+        if not lost:
+            return
+        log("worker_restarted", worker=self.worker, gangs=len(lost))
+        for key in lost:
+            del self._gangs[key]
+        self._sequence = 0
+        self._reachable = False
+        self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
+
     def _adopt_incarnation(self, incarnation: str) -> None:
         """Note the worker's incarnation; the numbers of its events start anew with each."""
         if incarnation != self._incarnation:
             self._incarnation = incarnation
             self._sequence = 0
 
-    def _on_reply(self, reply: SyncReply) -> None:
+    def _on_reply(self, reply: SyncReply, gangs: Mapping[tuple[str, int], str]) -> None:
         self._answered_at = time.monotonic()
         self._adopt_incarnation(reply.incarnation)
+        others = {key for key, incarnation in gangs.items() if incarnation != reply.incarnation}
+        self._report_lost_gangs(others & self._gangs.keys())
         if reply.refusal:
             return
         if not self._reachable:
--- a/packages/scheduler/tests/test_worker_link.py
+++ b/packages/scheduler/tests/test_worker_link.py
@@ -218,6 +218,42 @@
     assert ends == [1, 2]
 
 
+@pytest.mark.parametrize("is_adopted", [False, True])
+def test_gang_of_a_former_incarnation_is_lost(
+    is_adopted: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a gang that counts as running for ever though a worker of it restarted.
+
+    The restart comes before the link renews the gang: while other workers have not answered the
+    start, or between the inventory of a new owner and its first long poll.
+    """
+    monkeypatch.setattr(module, "RETRY_DELAY_SECONDS", 0.005)
+    posted: list[Any] = []
+
+    async def run() -> None:
+        worker = RestartingWorker()
+        link = make(worker, posted)
+        await worker.start(link)
+        if is_adopted:
+            link = make(worker, posted)
+            await link.list()
+            worker.restart()
+            link.start_renewing("j", 1)
+        task = asyncio.create_task(link.run())
+        await asyncio.sleep(0.02)
+        if not is_adopted:
+            worker.restart()
+            await asyncio.sleep(0.02)
+            link.start_renewing("j", 1)
+            await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+    assert [m.worker for m in posted if isinstance(m, WorkerUnreachable)] == ["w0"]
+    assert isinstance(posted[-1], WorkerReachable)
+
+
 def test_refused_epoch_ends_the_link() -> None:
     """Guards against an owner that goes on after another VM took over the region."""
     posted = run_link(FakeClient(SyncReply(ok=False, refusal="stale_epoch")), 0.05)
--- a/packages/wire/src/zinniaweir/wire/worker_service.py
+++ b/packages/wire/src/zinniaweir/wire/worker_service.py
@@ -86,6 +86,8 @@
     """One of `stale_epoch`, `busy`, `unknown_gang`, `too_late`, `start_failed` or empty."""
     epoch: int = 0
     """Highest epoch that the worker has received."""
+    incarnation: str = ""
+    """Incarnation of the worker."""
 
 
 class SyncRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/standins/src/zinniaweir_standins/worker.py
+++ b/standins/src/zinniaweir_standins/worker.py
@@ -128,7 +128,7 @@
                 reserved_at=now,
             )
         self.faults.after("reserve")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def start(self, request: StartRequest) -> CommandReply:
         """Start the reserved members of an attempt and set the leases of all its members."""
@@ -157,7 +157,7 @@
                 self._record(task, "start")
             task.lease_until = now + request.lease_seconds
         self.faults.after("start")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def stop(self, request: GangRequest) -> CommandReply:
         """Stop the members of an attempt."""
@@ -167,7 +167,7 @@
         for task in self._gang_tasks(request.job_id, request.attempt):
             self._end_task(task, "stopped", "stop")
         self.faults.after("stop")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def checkpoint(self, request: GangRequest) -> CommandReply:
         """Start a checkpoint; the members of an attempt end after it."""
@@ -181,7 +181,7 @@
                     task.state = "checkpointing"
                     task.checkpoint_until = now + task.payload.checkpoint_seconds
         self.faults.after("checkpoint")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def throttle(self, request: ThrottleRequest) -> CommandReply:
         """Limit the members of an attempt to a share of their processor time."""
@@ -190,7 +190,7 @@
             return refusal
         for task in self._gang_tasks(request.job_id, request.attempt):
             task.share = request.share
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def sync(self, request: SyncRequest) -> SyncReply:
         """Renew the leases of gangs and return events, waiting for new ones if asked to."""
@@ -359,7 +359,9 @@
         )
 
     def _refuse(self, refusal: str) -> CommandReply:
-        return CommandReply(ok=False, refusal=refusal, epoch=self._epoch)
+        return CommandReply(
+            ok=False, refusal=refusal, epoch=self._epoch, incarnation=self._incarnation
+        )
 
     def _usage(self) -> list[Usage]:
         return [
