scheduler, wire: a start is only for the incarnation that reserved its gang

Part of a gang could run alone for ever: with several members on one worker that restarted between two of their reservations, the start was accepted with the members reserved after the restart, and the gang counted as whole.

A start named the gang by job and attempt alone, and the worker starts what it holds of it.

The link adds the incarnation that answered the first reservation to the start; a worker of another one refuses it with `other_incarnation`. So is a start that reaches a later incarnation of its worker after a reservation that was held up as well.

--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
+
 from zinniaweir.telemetry.logs import log
 from zinniaweir.wire.service import RemoteError, ServiceClient
 from zinniaweir.wire.worker_service import (
@@ -14,6 +16,7 @@
     GangRef,
     ListRequest,
     ReserveRequest,
+    StartRequest,
     SyncRequest,
 )
 
@@ -148,6 +151,8 @@
     async def command(self, name: str, request: Any) -> str:
         """Send a command and return the reason of its refusal, empty if it was executed.
 
+        A start is only for the incarnation of the worker that reserved its gang.
+
         Args:
             name: Name of the method.
             request: The request message.
@@ -156,8 +161,12 @@
             StaleEpochError: If the worker has seen a later owner.
             WorkerUnreachableError: If it did not answer.
         """
+        if isinstance(request, StartRequest):
+            incarnation = self._reserved.get((request.job_id, request.attempt), "")
+            request = msgspec.structs.replace(request, incarnation=incarnation)
         reply = await self._call(name, request, COMMAND_TIMEOUT_SECONDS)
         if isinstance(request, ReserveRequest) and not reply.refusal:
+            # The first reservation of a gang decides: a restart loses it before later ones.
             key = (request.job_id, request.attempt)
             self._reserved.setdefault(key, reply.incarnation)
         return reply.refusal
--- a/packages/scheduler/tests/test_worker_link.py
+++ b/packages/scheduler/tests/test_worker_link.py
@@ -254,6 +254,25 @@
     assert isinstance(posted[-1], WorkerReachable)
 
 
+def test_start_after_a_restart_between_two_reservations_is_refused() -> None:
+    """Guards against a part of a gang that runs: the worker forgot the other members it reserved.
+
+    Also guards against a restart that keeps later attempts from starting on the same worker.
+    """
+
+    async def run() -> list[str]:
+        worker = RestartingWorker()
+        link = make(worker, [])
+        await link.command("Reserve", reserve(1, member=1))
+        worker.restart()
+        first = await worker.start(link)
+        link.stop_renewing("j", 1)
+        worker.standin._tasks.clear()
+        return [first, await worker.start(link)]
+
+    assert asyncio.run(run()) == ["other_incarnation", ""]
+
+
 def test_refused_epoch_ends_the_link() -> None:
     """Guards against an owner that goes on after another VM took over the region."""
     posted = run_link(FakeClient(SyncReply(ok=False, refusal="stale_epoch")), 0.05)
--- a/packages/wire/src/zinniaweir/wire/worker_service.py
+++ b/packages/wire/src/zinniaweir/wire/worker_service.py
@@ -57,6 +57,8 @@
     payload: bytes = b""
     max_reservation_age_seconds: float = 0.0
     """Age of the newest reservation here above which the start is too late; 0 for no limit."""
+    incarnation: str = ""
+    """Incarnation of the worker that reserved the members; empty for any."""
 
 
 class GangRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,7 +85,10 @@
     ok: bool
     """Whether the command was carried out."""
     refusal: str = ""
-    """One of `stale_epoch`, `busy`, `unknown_gang`, `too_late`, `start_failed` or empty."""
+    """Reason of the refusal, or empty.
+
+    One of `stale_epoch`, `other_incarnation`, `busy`, `unknown_gang`, `too_late` or `start_failed`.
+    """
     epoch: int = 0
     """Highest epoch that the worker has received."""
     incarnation: str = ""
--- a/standins/src/zinniaweir_standins/worker.py
+++ b/standins/src/zinniaweir_standins/worker.py
@@ -135,6 +135,8 @@
         await self.faults.before("start")
         if refusal := self._check_epoch(request.epoch):
             return refusal
+        if request.incarnation not in ("", self._incarnation):
+            return self._refuse("other_incarnation")
         tasks = self._gang_tasks(request.job_id, request.attempt)
         if not tasks:
             return self._refuse("unknown_gang")
