scheduler: a worker that dies before its first long poll is reported as lost

A gang that a new owner adopted counted as running for ever when one of its workers answered the inventory and died before the first long poll. The window is up to 4 s when another worker is silent, as when a rack fails together with the former owner.

The link reported a worker as lost only after it had answered a long poll.

It now reports a worker once when it is silent for LOST_AFTER_SECONDS, whether it answered before or not; the core ignores a second loss. The test failed before the change: nothing was reported.

--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -118,6 +118,7 @@
         self._incarnation = ""
         self._sequence = 0
         self._reachable = False
+        self._reported_lost = False
         self._call_failed = False
         self._answered_at = time.monotonic()
         self._gang_added = asyncio.Event()
@@ -130,8 +131,7 @@
     def mark_unreachable(self) -> None:
         """Report the worker as unreachable until it answers again."""
         if self._reachable:
-            self._reachable = False
-            self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
+            self._report_lost()
 
     def start_renewing(self, job_id: str, attempt: int) -> None:
         """Include a gang in lease renewals, starting at once.
@@ -283,7 +283,11 @@
         for key in lost:
             del self._gangs[key]
         self._sequence = 0
+        self._report_lost()
+
+    def _report_lost(self) -> None:
         self._reachable = False
+        self._reported_lost = True
         self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
 
     def _adopt_incarnation(self, incarnation: str) -> None:
@@ -301,6 +305,7 @@
             return
         if not self._reachable:
             self._reachable = True
+            self._reported_lost = False
             self._post(WorkerReachable(worker=self.worker))
         self._sequence = max(self._sequence, reply.sequence)
         if reply.events or reply.usage:
@@ -312,9 +317,9 @@
 
     def _on_call_failure(self, error: WorkerUnreachableError) -> None:
         self._call_failed = True
-        if self._reachable and self.silent_seconds > LOST_AFTER_SECONDS:
+        if not self._reported_lost and self.silent_seconds > LOST_AFTER_SECONDS:
             log("worker_unreachable", worker=self.worker, reason=str(error))
-            self.mark_unreachable()
+            self._report_lost()
 
     async def _call(self, name: str, request: Any, timeout: float) -> Any:
         try:
--- a/packages/scheduler/tests/test_worker_link.py
+++ b/packages/scheduler/tests/test_worker_link.py
@@ -168,6 +168,17 @@
     assert kinds == [WorkerReachable, WorkerUnreachable, WorkerReachable]
 
 
+def test_worker_that_never_answers_a_sync_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an adopted gang that counts as running for ever.
+
+    Its worker answered the inventory of the new owner and died before the first long poll.
+    """
+    monkeypatch.setattr(module, "LOST_AFTER_SECONDS", 0.03)
+    monkeypatch.setattr(module, "RETRY_DELAY_SECONDS", 0.02)
+    posted = run_link(FakeClient(*[TIMEOUT] * 6), 0.2)
+    assert [type(message) for message in posted] == [WorkerUnreachable]
+
+
 def test_event_before_a_list_is_still_reported() -> None:
     """Guards against a job that never ends.
 
