scheduler: two calls that fail on one peer's connection don't raise a KeyError

When a peer died or its connection was reset during two calls to it, such as the relay of the log's tail and a question why a job waits, the second call raised a KeyError.

Both calls dropped the shared connection from the table, without a look whether it was still there.

A call now drops the connection only if the table still holds that one, which also keeps a newer connection to the address.

--- a/packages/scheduler/src/zinniaweir/scheduler/peers.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/peers.py
@@ -100,6 +100,8 @@
         try:
             return await client.call(name, request, timeout=timeout)
         except RemoteError:
-            # The connection is dropped, because another VM may reuse the address.
-            self._clients.pop(address).close()
+            # The connection is dropped, because another VM may reuse the address. Another call that
+            # failed on it may have dropped it already.
+            if self._clients.get(address) is client:
+                self._clients.pop(address).close()
             return None
