scheduler: an event for a member that its worker does not have is dropped

One odd event of a worker, the failure of a member that its gang does not have, ended the owner of the region with an IndexError; the worker keeps its events, so each next owner that read it would end as well. A worker could also end a member of another worker, and an odd member made a checkpoint count as whole or a running gang as partial at a takeover.

Events were matched to gangs by job and attempt alone.

The owner now drops and counts events of members that the gang has not placed on the worker that reports them. The inventory keeps the worker of each event. The test failed before the change with the IndexError.

--- a/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
@@ -214,8 +214,8 @@
             self._links[worker].start_renewing(job.job_id, job.attempt)
         if job.state == "starting":
             self._spawn(self._runner.record_start(gang))
-        for event in reported.last_events.values():
-            self._on_worker_event(event)
+        for worker, event in reported.last_events.values():
+            self._on_worker_event(worker, event)
         return True
 
     def _end_lost_attempt(self, job: JobEntry, losses: tuple[WorkerLoss, ...]) -> bool:
@@ -309,7 +309,7 @@
     @_on_message.register
     def _(self, message: WorkerReport) -> None:
         for event in message.events:
-            self._on_worker_event(event)
+            self._on_worker_event(message.worker, event)
         for usage in message.usage:
             self._handle_event(
                 events.UsageReported(
@@ -349,11 +349,15 @@
         if cancelled:
             self._handle_event(events.JobCancelled(job_ids=tuple(cancelled)))
 
-    def _on_worker_event(self, event: WorkerEvent) -> None:
+    def _on_worker_event(self, worker: str, event: WorkerEvent) -> None:
         key = (event.job_id, event.attempt)
         gang = self._gangs.get(key)
         if gang is None:
             return
+        if not any((m.worker, m.member) == (worker, event.member) for m in gang.members):
+            # An unknown member would raise an error in the core, and again in each next owner.
+            self._counters.add("worker_events_refused", reason="not_its_member")
+            return
         if event.kind == "checkpointed" or (
             event.kind == "done" and key in self._member_checkpoints
         ):
--- a/packages/scheduler/src/zinniaweir/scheduler/takeover.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/takeover.py
@@ -26,8 +26,8 @@
 
     tasks: dict[int, tuple[str, TaskStatus]] = field(default_factory=dict)
     """Task or reservation of each member, with the name of its worker."""
-    last_events: dict[int, WorkerEvent] = field(default_factory=dict)
-    """Last event of each member that has one."""
+    last_events: dict[int, tuple[str, WorkerEvent]] = field(default_factory=dict)
+    """Last event of each member that has one, with the name of its worker."""
 
     @property
     def workers(self) -> tuple[str, ...]:
@@ -36,9 +36,9 @@
 
     def is_complete(self, job: JobEntry) -> bool:
         """Return whether every member of the job runs or is done."""
-        done = {m for m, event in self.last_events.items() if event.kind == "done"}
+        done = {m for m, (_, event) in self.last_events.items() if event.kind == "done"}
         runs = {m for m, (_, task) in self.tasks.items() if task.state == "running"}
-        return bool(runs | done) and runs | done == set(range(job.spec.members))
+        return bool(runs | done) and runs | done >= set(range(job.spec.members))
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,7 +67,7 @@
             continue
         events, tasks = reply
         for event in events:
-            gangs[event.job_id, event.attempt].last_events[event.member] = event
+            gangs[event.job_id, event.attempt].last_events[event.member] = (link.worker, event)
         for task in tasks:
             gangs[task.job_id, task.attempt].tasks[task.member] = (link.worker, task)
     return WorkerInventory(gangs=dict(gangs), unreachable=tuple(unreachable))
--- a/packages/scheduler/tests/test_region_owner.py
+++ b/packages/scheduler/tests/test_region_owner.py
@@ -265,6 +265,30 @@
     run_scenario(scenario)
 
 
+def test_event_that_is_not_of_its_member_is_dropped() -> None:
+    """Guards against one odd event that ends the owner, and each next owner that reads it again.
+
+    Also guards against a checkpoint that counts as whole by members that do not exist, and against
+    the end of a member that another worker reports.
+    """
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit()
+        await harness.until(lambda: harness.job().state == "running")
+        worker = harness.job().members[0].worker
+        for member in (99, -1, 1):
+            event = WorkerEvent(sequence=1, kind="failed", job_id="j", attempt=1, member=member)
+            harness.links[worker].report(event)
+        await asyncio.sleep(0.05)
+        assert harness.job().state == "running"
+        assert harness.owner._counters.value("worker_events_refused", reason="not_its_member") == 3
+        for number in range(2):
+            harness.member_event(number, "done")
+        await harness.until(lambda: harness.job().state == "done")
+
+    run_scenario(scenario)
+
+
 def test_cancellation_during_the_start_leaves_no_member() -> None:
     """Guards against a start that goes on after its job was cancelled."""
 
