scheduler: the link to a new address of a worker takes its gangs over

After operators gave a worker another address, its gangs were no longer renewed and nobody was told of their end: a worker that kept running lost them when their leases expired, and with a machine that replaced the worker they counted as running for ever, since the core knows workers by name alone.

The owner made a link without gangs for the new address.

The link to the new address takes over the gangs, the incarnation and the number of the last event of the former one, so that it renews the gangs if the same incarnation answers and reports them as lost if not. The test of the owner failed before the change: the link got no former one.

--- a/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/region_owner.py
@@ -581,6 +581,7 @@
                 epoch=self.epoch,
                 leases=core_inputs.lease_settings(settings),
                 post=self._inbox.put_nowait,
+                former=link,
             )
         for name in [name for name in self._links if name not in names]:
             self._remove_link(name)
--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -93,6 +93,8 @@
         epoch: Ownership epoch that all calls carry.
         leases: Durations of leases.
         post: Called with each message for the region owner.
+        former: Link to the former address of the worker. Its gangs are renewed at the new one if
+            the same incarnation answers there, and are lost otherwise.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         epoch: int,
         leases: LeaseSettings,
         post: Callable[[Any], None],
+        former: WorkerLink | None = None,
     ) -> None:
         self.worker = worker
         """Name of the worker."""
@@ -122,6 +125,8 @@
         self._call_failed = False
         self._answered_at = time.monotonic()
         self._gang_added = asyncio.Event()
+        if former is not None:
+            self._take_over(former)
 
     @property
     def silent_seconds(self) -> float:
@@ -211,6 +216,12 @@
         finally:
             self._client.close()
 
+    def _take_over(self, former: WorkerLink) -> None:
+        self._gangs = dict(former._gangs)
+        self._reserved = dict(former._reserved)
+        self._incarnation = former._incarnation
+        self._sequence = former._sequence
+
     async def _sync(self) -> None:
         if self._call_failed and not await self._resume():
             return
--- a/packages/scheduler/tests/test_region_owner.py
+++ b/packages/scheduler/tests/test_region_owner.py
@@ -61,8 +61,11 @@
 class FakeLink:
     """Link to a worker that accepts every command at once, except for the harness's faults."""
 
-    def __init__(self, *, worker: str, host: str, port: int, post: Any, **_: Any) -> None:
+    def __init__(
+        self, *, worker: str, host: str, port: int, post: Any, former: Any = None, **_: Any
+    ) -> None:
         self.worker = worker
+        self.former = former
         self.address = (host, port)
         self._post = post
         self.silent_seconds = 0.0
@@ -265,6 +268,27 @@
     run_scenario(scenario)
 
 
+def test_link_to_a_new_address_takes_the_gangs_of_the_former_one_over() -> None:
+    """Guards against a gang that counts as running for ever after its worker was replaced.
+
+    Nobody renewed its lease at the new address, nor was told that it is not there.
+    """
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit(members=1)
+        await harness.until(lambda: running(harness))
+        worker = harness.job().members[0].worker
+        former = harness.links[worker]
+        put = SettingsPut(
+            path=f"topology/workers/{worker}/port", value=7999, base_version=harness.offset
+        )
+        harness.fold(put)
+        await harness.until(lambda: harness.links[worker] is not former)
+        assert harness.links[worker].former is former
+
+    run_scenario(scenario)
+
+
 def test_event_that_is_not_of_its_member_is_dropped() -> None:
     """Guards against one odd event that ends the owner, and each next owner that reads it again.
 
--- a/packages/scheduler/tests/test_worker_link.py
+++ b/packages/scheduler/tests/test_worker_link.py
@@ -105,9 +105,10 @@
     )
 
 
-def make(client: Any, posted: list[Any], name: str = "w0") -> WorkerLink:
+def make(client: Any, posted: list[Any], name: str = "w0", **fields: Any) -> WorkerLink:
+    leases = LeaseSettings()
     link = WorkerLink(
-        worker=name, host="h", port=1, epoch=7, leases=LeaseSettings(), post=posted.append
+        worker=name, host="h", port=1, epoch=7, leases=leases, post=posted.append, **fields
     )
     link._client.close()
     link._client = client
@@ -265,6 +266,32 @@
     assert isinstance(posted[-1], WorkerReachable)
 
 
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_gangs_are_taken_over_by_the_link_to_a_new_address(is_replaced: bool) -> None:
+    """Guards against another machine at the new address that is taken for the former worker.
+
+    Also guards against the end of gangs whose worker only changed its address.
+    """
+    posted: list[Any] = []
+
+    async def run() -> WorkerLink:
+        worker = RestartingWorker()
+        former = make(worker, posted)
+        await former.list()
+        await worker.start(former)
+        former.start_renewing("j", 1)
+        link = make(RestartingWorker() if is_replaced else worker, posted, former=former)
+        task = asyncio.create_task(link.run())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return link
+
+    link = asyncio.run(run())
+    assert (WorkerUnreachable in [type(message) for message in posted]) is is_replaced
+    assert bool(link._gangs) is not is_replaced
+
+
 def test_start_after_a_restart_between_two_reservations_is_refused() -> None:
     """Guards against a part of a gang that runs: the worker forgot the other members it reserved.
 
