scheduler: job records with numbers out of range change nothing

One odd job record on the log stopped all scheduling of its region: a submission whose time is not a finite number, or a placement on a negative or huge accelerator number, raised an error in the core of the owner, which released the region, and then in each owner after it.

The fold of job records checked their epoch and attempt only; settings and claims were checked already.

Such records are now ignored in the fold, like those of an earlier owner. All VMs must run releases with the same checks, as for settings. The tests failed before the change; a trial with the owner of a region ended with ValueError, OverflowError and MemoryError.

--- a/packages/scheduler/src/zinniaweir/scheduler/jobs.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -36,6 +37,8 @@
 
 A late resubmission under the key of one of them does not run again.
 """
+MAX_ACCELERATORS: Final = 64
+"""Maximum number of accelerators of a worker; they are numbered from 0."""
 MAX_HISTORY_PER_JOB: Final = 60
 """Maximum number of history entries per job; bounds a job that is requeued again and again."""
 
@@ -148,7 +151,7 @@
     """All jobs, folded from job records in log order.
 
     Records written by a region owner are ignored unless their epoch is the current epoch of the
-    job's region.
+    job's region. So are records with numbers that would raise an error in each owner in turn.
 
     Args:
         epoch_of: Returns the current epoch of a region.
@@ -253,6 +256,8 @@
     @_apply.register
     def _(self, body: JobSubmitted, offset: int, record: Record) -> list[JobEntry]:
         customer = body.spec.customer
+        if not math.isfinite(body.submitted_at):
+            return []
         if body.job_id in self._jobs or (body.key and self.by_key(customer, body.key)):
             return []
         job = JobEntry(
@@ -270,7 +275,7 @@
     @_apply.register
     def _(self, body: JobPlaced, offset: int, record: Record) -> list[JobEntry]:
         job = self._owned_job(body)
-        if job is None or body.attempt <= job.attempt:
+        if job is None or body.attempt <= job.attempt or not _is_placeable(body.members):
             return []
         job.attempt = body.attempt
         job.members = body.members
@@ -379,6 +384,10 @@
     )
 
 
+def _is_placeable(members: tuple[Member, ...]) -> bool:
+    return all(0 <= n < MAX_ACCELERATORS for member in members for n in member.accelerators)
+
+
 def _append_history(
     job: JobEntry, offset: int, record: Record, event: str, reason: str = ""
 ) -> None:
--- a/packages/scheduler/tests/test_jobs.py
+++ b/packages/scheduler/tests/test_jobs.py
@@ -1,8 +1,9 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
 
 import msgspec
+import pytest
 
 from zinniaweir.scheduler import jobs as jobs_module
 from zinniaweir.scheduler.jobs import JobTable
@@ -18,9 +19,6 @@
     Record,
 )
 
-if TYPE_CHECKING:
-    import pytest
-
 EPOCH = 7
 SPEC = JobSpec(customer="parish", name="sweep")
 
@@ -51,6 +49,25 @@
     return log.owner(JobPlaced, attempt=attempt, members=members, epoch=epoch)
 
 
+@pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf])
+def test_job_of_no_time_is_not_accepted(number: float) -> None:
+    """Guards against one odd record that ends each owner of its region in turn."""
+    log = Log()
+    body = JobSubmitted(job_id="a", region="r", key="", spec=SPEC, submitted_at=number)
+    assert log.add(body) == []
+    assert log.table.active("r") == []
+
+
+@pytest.mark.parametrize("number", [-1, 64, 2**63 - 1])
+def test_placement_on_an_accelerator_that_no_worker_has_changes_nothing(number: int) -> None:
+    """Guards against one odd record that ends each owner of its region at its takeover."""
+    log = Log()
+    log.submit("a")
+    members = (Member(member=0, worker="w1", accelerators=(0, number)),)
+    assert log.owner(JobPlaced, attempt=1, members=members) == []
+    assert log.table.get("a").state == "waiting"
+
+
 def test_records_of_an_earlier_owner_change_nothing() -> None:
     """Guards against a paused owner that places or ends jobs after another VM took over."""
     log = Log()
