scheduler, entry: settings do not revert when the scheduler process of a VM restarts

The watch handed out what the new incarnation had folded so far, since its version differed, and the entry process applies each version that differs.

The watch hands out the state only while it is `starting` or `no_state`. Replies of a starting process no longer keep the settings of its entry process from counting as stale, since it can't know of a drain.

--- a/packages/entry/src/zinniaweir/entry/scheduler_link.py
+++ b/packages/entry/src/zinniaweir/entry/scheduler_link.py
@@ -20,10 +20,12 @@
 """Maximum wait of one `Watch` call; the scheduler process answers a change at once."""
 WATCH_GRACE_SECONDS: Final = 1.0
 """Time beyond the wait before a `Watch` call times out."""
+STARTING: Final = "starting"
+"""State of a scheduler process that has not read the log to its end since its start."""
 STALE_AFTER_SECONDS: Final = 4.0
 """Age of the last reply from which the settings count as stale.
 
-A failure domain may have been drained since then.
+A failure domain may have been drained since then. Replies of a starting process don't count.
 """
 RETRY_DELAY_SECONDS: Final = 0.5
 """Delay before the next `Watch` call after a failed one."""
@@ -115,7 +117,8 @@
         if reply.state != self._state:
             log("vm_state_changed", before=self._state, after=reply.state)
         self._state = reply.state
-        self._last_reply_at = time.monotonic()
+        if reply.state != STARTING:
+            self._last_reply_at = time.monotonic()
         if reply.surroundings != self._surroundings:
             self._surroundings = reply.surroundings
             self._on_surroundings(reply.surroundings)
--- a/packages/scheduler/src/zinniaweir/scheduler/settings_service.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/settings_service.py
@@ -9,7 +9,7 @@
 from msgspec import structs
 
 from zinniaweir.journal.journal import PublishError
-from zinniaweir.scheduler.vm_state import READY
+from zinniaweir.scheduler.vm_state import NO_STATE, READY, STARTING
 from zinniaweir.wire.records import SettingsPut
 from zinniaweir.wire.scheduler_service import (
     GetSettingsReply,
@@ -37,6 +37,8 @@
     )
 
 PUBLISH_TIMEOUT_SECONDS: Final = 5.0
+INCOMPLETE_STATES: Final = frozenset({STARTING, NO_STATE})
+"""States of a VM in which its settings may be older than the log."""
 STATE_POLL_INTERVAL_SECONDS: Final = 0.5
 """Poll interval of a watch for the VM's state, which can change without any record."""
 
@@ -118,7 +120,11 @@
         return await self._publish(put, review.diff)
 
     async def watch(self, request: WatchRequest) -> WatchReply:
-        """Wait until settings, VM state or surroundings differ from those in the request."""
+        """Wait until settings, VM state or surroundings differ from those in the request.
+
+        A process that has not read the log to its end hands out its state only: after a restart,
+        its settings may be older than those that the entry process has in force.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + request.wait_seconds
         while self._is_unchanged(request) and loop.time() < deadline:
@@ -126,19 +132,29 @@
             await self._waiters.wait_until(
                 "settings", lambda: not self._is_unchanged(request), timeout=wait
             )
+        state = self._vm_state.current()
+        if state in INCOMPLETE_STATES:
+            return WatchReply(
+                settings_version=request.settings_version,
+                settings=None,
+                state=state,
+                surroundings=request.surroundings,
+            )
         version = self._state.settings.version
         tree = self._state.settings.get("")[0] if version != request.settings_version else None
         return WatchReply(
             settings_version=version,
             settings=tree,
-            state=self._vm_state.current(),
+            state=state,
             surroundings=self._surroundings(),
         )
 
     def _is_unchanged(self, request: WatchRequest) -> bool:
-        return (
+        state = self._vm_state.current()
+        if request.state != state:
+            return False
+        return state in INCOMPLETE_STATES or (
             request.settings_version == self._state.settings.version
-            and request.state == self._vm_state.current()
             and request.surroundings == self._surroundings()
         )
 
--- a/packages/scheduler/tests/test_region_owner.py
+++ b/packages/scheduler/tests/test_region_owner.py
@@ -34,7 +34,7 @@
     Record,
     SettingsPut,
 )
-from zinniaweir.wire.scheduler_service import PutSettingsRequest, Surroundings
+from zinniaweir.wire.scheduler_service import PutSettingsRequest, Surroundings, WatchRequest
 from zinniaweir.wire.worker_service import ListReply, WorkerEvent
 
 SETTINGS = {
@@ -401,19 +401,22 @@
     asyncio.run(run())
 
 
-class VmReady:
+class FixedVmState:
+    def __init__(self, state: str = "ready") -> None:
+        self.state = state
+
     def current(self) -> str:
-        return "ready"
+        return self.state
 
 
-def make_service(harness: OwnerHarness) -> SettingsService:
+def make_service(harness: OwnerHarness, vm_state: str = "ready") -> SettingsService:
     async def find_preempted_jobs(put: SettingsPut, model: Any) -> PreemptedJobs:
         return PreemptedJobs(job_ids=["j"], problem="no answer from vm2")
 
     return SettingsService(
         state=harness.state,
         journal=harness,
-        vm_state=VmReady(),
+        vm_state=FixedVmState(vm_state),
         waiters=Waiters(),
         counters=Counters(),
         find_preempted_jobs=find_preempted_jobs,
@@ -421,6 +424,30 @@
     )
 
 
+@pytest.mark.parametrize("state", ["starting", "no_state"])
+def test_settings_are_not_handed_out_before_the_end_of_the_log(state: str) -> None:
+    """Guards against settings that revert in an entry process when its scheduler restarts.
+
+    The new incarnation has no settings at first, or those of an old snapshot.
+    """
+
+    async def run() -> None:
+        harness = OwnerHarness()
+        known = WatchRequest(
+            settings_version=99,
+            state="ready",
+            surroundings=Surroundings(live_vms=3),
+            wait_seconds=0,
+        )
+        reply = await make_service(harness, state).watch(known)
+        assert (reply.state, reply.settings, reply.settings_version) == (state, None, 99)
+        assert reply.surroundings == known.surroundings
+        reply = await make_service(harness).watch(known)
+        assert reply.settings_version == harness.state.settings.version
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(("may_appear", "state"), [(True, "unknown"), (False, "not_run")])
 def test_settings_put_reports_whether_it_may_still_take_effect(
     may_appear: bool, state: str
