scheduler, entry: a leaving upstream stays known when the scheduler process restarts

An upstream that the VM list named as leaving got new requests again after the scheduler process of a VM restarted, until it had read the list: for as long as the list was down.

A new incarnation said "no upstream is leaving" before it had read the list, which the entry process took for news.

Before the first list it says that it does not know, and the entry process keeps what it knew. If both processes restart while the list is down, nothing is known.

--- a/packages/entry/src/zinniaweir/entry/service.py
+++ b/packages/entry/src/zinniaweir/entry/service.py
@@ -105,7 +105,9 @@
         ).register(self._api)
 
     def _apply_surroundings(self, surroundings: Surroundings) -> None:
-        self._router.set_leaving(surroundings.leaving_upstreams)
+        if surroundings.leaving_upstreams is not None:
+            # A scheduler process that restarted does not know them before it has read the VM list.
+            self._router.set_leaving(surroundings.leaving_upstreams)
         self._admission.set_live_vms(surroundings.live_vms)
 
     def _apply_settings(self, reply: WatchReply) -> None:
--- a/packages/scheduler/src/zinniaweir/scheduler/process.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/process.py
@@ -66,7 +66,7 @@
         self._waiters = Waiters()
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
-        self._leaving_upstreams: tuple[str, ...] = ()
+        self._leaving_upstreams: tuple[str, ...] | None = None
 
     async def run(self) -> None:
         """Run until SIGINT or SIGTERM, then release all shards and stop."""
--- a/packages/wire/src/zinniaweir/wire/scheduler_service.py
+++ b/packages/wire/src/zinniaweir/wire/scheduler_service.py
@@ -236,8 +236,8 @@
 class Surroundings(msgspec.Struct, frozen=True, kw_only=True):
     """Facts about other VMs that the entry process needs."""
 
-    leaving_upstreams: tuple[str, ...] = ()
-    """Names of upstreams that are leaving according to the VM list."""
+    leaving_upstreams: tuple[str, ...] | None = None
+    """Names of upstreams that are leaving according to the VM list; None before it was read."""
     live_vms: int = 1
     """Number of live system VMs, over which the limits of customers are divided."""
 
