--- a/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/worker_link.py
@@ -7,15 +7,24 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
+
 from zinniaweir.telemetry.logs import log
 from zinniaweir.wire.service import RemoteError, ServiceClient
-from zinniaweir.wire.worker_service import WORKER_SERVICE, GangRef, ListRequest, SyncRequest
+from zinniaweir.wire.worker_service import (
+    WORKER_SERVICE,
+    GangRef,
+    ListRequest,
+    ReserveRequest,
+    StartRequest,
+    SyncRequest,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from zinniaweir.scheduler.leases import LeaseSettings
-    from zinniaweir.wire.worker_service import ListReply, Usage, WorkerEvent
+    from zinniaweir.wire.worker_service import ListReply, SyncReply, Usage, WorkerEvent
 
 COMMAND_TIMEOUT_SECONDS: Final = 1.0
 """Timeout of a command. A start must not take effect later than this after it was checked.
@@ -84,6 +93,8 @@
         epoch: Ownership epoch that all calls carry.
         leases: Durations of leases.
         post: Called with each message for the region owner.
+        former: Link to the former address of the worker. Its gangs are renewed at the new one if
+            the same incarnation answers there, and are lost otherwise.
     """
 
     def __init__(
@@ -95,6 +106,7 @@
         epoch: int,
         leases: LeaseSettings,
         post: Callable[[Any], None],
+        former: WorkerLink | None = None,
     ) -> None:
         self.worker = worker
         """Name of the worker."""
@@ -104,12 +116,17 @@
         self._epoch = epoch
         self._leases = leases
         self._post = post
-        self._gangs: set[tuple[str, int]] = set()
+        self._gangs: dict[tuple[str, int], str] = {}
+        self._reserved: dict[tuple[str, int], str] = {}
+        self._incarnation = ""
         self._sequence = 0
         self._reachable = False
+        self._reported_lost = False
         self._call_failed = False
         self._answered_at = time.monotonic()
         self._gang_added = asyncio.Event()
+        if former is not None:
+            self._take_over(former)
 
     @property
     def silent_seconds(self) -> float:
@@ -119,21 +136,28 @@
     def mark_unreachable(self) -> None:
         """Report the worker as unreachable until it answers again."""
         if self._reachable:
-            self._reachable = False
-            self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
+            self._report_lost()
 
     def start_renewing(self, job_id: str, attempt: int) -> None:
-        """Include a gang in lease renewals, starting at once."""
-        self._gangs.add((job_id, attempt))
+        """Include a gang in lease renewals, starting at once.
+
+        It belongs to the incarnation that reserved it, or else to the one that last answered
+        `list`, and is lost when the worker answers as another one.
+        """
+        key = (job_id, attempt)
+        self._gangs[key] = self._reserved.pop(key, self._incarnation)
         self._gang_added.set()
 
     def stop_renewing(self, job_id: str, attempt: int) -> None:
         """Exclude a gang from lease renewals."""
-        self._gangs.discard((job_id, attempt))
+        self._gangs.pop((job_id, attempt), None)
+        self._reserved.pop((job_id, attempt), None)
 
     async def command(self, name: str, request: Any) -> str:
         """Send a command and return the reason of its refusal, empty if it was executed.
 
+        A start is only for the incarnation of the worker that reserved its gang.
+
         Args:
             name: Name of the method.
             request: The request message.
@@ -142,7 +166,14 @@
             StaleEpochError: If the worker has seen a later owner.
             WorkerUnreachableError: If it did not answer.
         """
+        if isinstance(request, StartRequest):
+            incarnation = self._reserved.get((request.job_id, request.attempt), "")
+            request = msgspec.structs.replace(request, incarnation=incarnation)
         reply = await self._call(name, request, COMMAND_TIMEOUT_SECONDS)
+        if isinstance(request, ReserveRequest) and not reply.refusal:
+            # The first reservation of a gang decides: a restart loses it before later ones.
+            key = (request.job_id, request.attempt)
+            self._reserved.setdefault(key, reply.incarnation)
         return reply.refusal
 
     async def list(self) -> ListReply:
@@ -154,7 +185,10 @@
         """
         # The sequence of the reply is not adopted, because events after the last sync have yet to
         # be reported.
-        return await self._call("List", ListRequest(epoch=self._epoch), COMMAND_TIMEOUT_SECONDS)
+        request = ListRequest(epoch=self._epoch)
+        reply = await self._call("List", request, COMMAND_TIMEOUT_SECONDS)
+        self._adopt_incarnation(reply.incarnation)
+        return reply
 
     async def retained_events(self) -> list[WorkerEvent]:
         """Return all events that the worker still keeps, including those already reported.
@@ -182,6 +216,12 @@
         finally:
             self._client.close()
 
+    def _take_over(self, former: WorkerLink) -> None:
+        self._gangs = dict(former._gangs)
+        self._reserved = dict(former._reserved)
+        self._incarnation = former._incarnation
+        self._sequence = former._sequence
+
     async def _sync(self) -> None:
         if self._call_failed and not await self._resume():
             return
@@ -191,12 +231,17 @@
             # answer is detected in time to stop the other members of its gangs within the first
             # lease.
             wait = max(0.0, self._leases.renew_seconds - COMMAND_TIMEOUT_SECONDS)
+        gangs = dict(self._gangs)
+        if any(incarnation != self._incarnation for incarnation in gangs.values()):
+            # A gang of another incarnation is lost, or this link has yet to learn of a restart.
+            wait = 0.0
         request = SyncRequest(
             epoch=self._epoch,
             lease_seconds=self._leases.lease_seconds,
-            gangs=[GangRef(job_id=job_id, attempt=attempt) for job_id, attempt in self._gangs],
+            gangs=[GangRef(job_id=job_id, attempt=attempt) for job_id, attempt in gangs],
             after_sequence=self._sequence,
             wait_seconds=wait if self._reachable else 0.0,
+            incarnation=self._incarnation,
         )
         self._gang_added.clear()
         call = asyncio.ensure_future(self._call("Sync", request, wait + COMMAND_TIMEOUT_SECONDS))
@@ -214,7 +259,9 @@
         finally:
             call.cancel()
             wake.cancel()
-        self._on_reply(reply)
+        self._on_reply(reply, gangs)
+        if reply.refusal:
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
 
     async def _resume(self) -> bool:
         """Check after a failed call whether the worker answers and still has its gangs.
@@ -236,17 +283,40 @@
             return False
         self._call_failed = False
         known = {(one.job_id, one.attempt) for one in (*events, *reply.tasks)}
-        if gangs & self._gangs - known:
-            log("worker_restarted", worker=self.worker)
-            self._sequence = 0
-            self._reachable = False
-            self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
+        self._report_lost_gangs(gangs & self._gangs.keys() - known)
         return True
 
-    def _on_reply(self, reply: Any) -> None:
+    def _report_lost_gangs(self, lost: set[tuple[str, int]]) -> None:
+        """Report the worker as lost if gangs ended with a former incarnation."""
+        if not lost:
+            return
+        log("worker_restarted", worker=self.worker, gangs=len(lost))
+        for key in lost:
+            del self._gangs[key]
+        self._sequence = 0
+        self._report_lost()
+
+    def _report_lost(self) -> None:
+        self._reachable = False
+        self._reported_lost = True
+        self._post(WorkerUnreachable(worker=self.worker, silent_seconds=self.silent_seconds))
+
+    def _adopt_incarnation(self, incarnation: str) -> None:
+        """Note the worker's incarnation; the numbers of its events start anew with each."""
+        if incarnation != self._incarnation:
+            self._incarnation = incarnation
+            self._sequence = 0
+
+    def _on_reply(self, reply: SyncReply, gangs: Mapping[tuple[str, int], str]) -> None:
         self._answered_at = time.monotonic()
+        self._adopt_incarnation(reply.incarnation)
+        others = {key for key, incarnation in gangs.items() if incarnation != reply.incarnation}
+        self._report_lost_gangs(others & self._gangs.keys())
+        if reply.refusal:
+            return
         if not self._reachable:
             self._reachable = True
+            self._reported_lost = False
             self._post(WorkerReachable(worker=self.worker))
         self._sequence = max(self._sequence, reply.sequence)
         if reply.events or reply.usage:
@@ -258,9 +328,9 @@
 
     def _on_call_failure(self, error: WorkerUnreachableError) -> None:
         self._call_failed = True
-        if self._reachable and self.silent_seconds > LOST_AFTER_SECONDS:
+        if not self._reported_lost and self.silent_seconds > LOST_AFTER_SECONDS:
             log("worker_unreachable", worker=self.worker, reason=str(error))
-            self.mark_unreachable()
+            self._report_lost()
 
     async def _call(self, name: str, request: Any, timeout: float) -> Any:
         try:
--- a/packages/scheduler/tests/test_region_owner.py
+++ b/packages/scheduler/tests/test_region_owner.py
@@ -34,7 +34,7 @@
     Record,
     SettingsPut,
 )
-from zinniaweir.wire.scheduler_service import PutSettingsRequest, Surroundings
+from zinniaweir.wire.scheduler_service import PutSettingsRequest, Surroundings, WatchRequest
 from zinniaweir.wire.worker_service import ListReply, WorkerEvent
 
 SETTINGS = {
@@ -61,8 +61,11 @@
 class FakeLink:
     """Link to a worker that accepts every command at once, except for the harness's faults."""
 
-    def __init__(self, *, worker: str, host: str, port: int, post: Any, **_: Any) -> None:
+    def __init__(
+        self, *, worker: str, host: str, port: int, post: Any, former: Any = None, **_: Any
+    ) -> None:
         self.worker = worker
+        self.former = former
         self.address = (host, port)
         self._post = post
         self.silent_seconds = 0.0
@@ -265,6 +268,51 @@
     run_scenario(scenario)
 
 
+def test_link_to_a_new_address_takes_the_gangs_of_the_former_one_over() -> None:
+    """Guards against a gang that counts as running for ever after its worker was replaced.
+
+    Nobody renewed its lease at the new address, nor was told that it is not there.
+    """
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit(members=1)
+        await harness.until(lambda: running(harness))
+        worker = harness.job().members[0].worker
+        former = harness.links[worker]
+        put = SettingsPut(
+            path=f"topology/workers/{worker}/port", value=7999, base_version=harness.offset
+        )
+        harness.fold(put)
+        await harness.until(lambda: harness.links[worker] is not former)
+        assert harness.links[worker].former is former
+
+    run_scenario(scenario)
+
+
+def test_event_that_is_not_of_its_member_is_dropped() -> None:
+    """Guards against one odd event that ends the owner, and each next owner that reads it again.
+
+    Also guards against a checkpoint that counts as whole by members that do not exist, and against
+    the end of a member that another worker reports.
+    """
+
+    async def scenario(harness: OwnerHarness) -> None:
+        harness.submit()
+        await harness.until(lambda: harness.job().state == "running")
+        worker = harness.job().members[0].worker
+        for member in (99, -1, 1):
+            event = WorkerEvent(sequence=1, kind="failed", job_id="j", attempt=1, member=member)
+            harness.links[worker].report(event)
+        await asyncio.sleep(0.05)
+        assert harness.job().state == "running"
+        assert harness.owner._counters.value("worker_events_refused", reason="not_its_member") == 3
+        for number in range(2):
+            harness.member_event(number, "done")
+        await harness.until(lambda: harness.job().state == "done")
+
+    run_scenario(scenario)
+
+
 def test_cancellation_during_the_start_leaves_no_member() -> None:
     """Guards against a start that goes on after its job was cancelled."""
 
@@ -353,19 +401,22 @@
     asyncio.run(run())
 
 
-class VmReady:
+class FixedVmState:
+    def __init__(self, state: str = "ready") -> None:
+        self.state = state
+
     def current(self) -> str:
-        return "ready"
+        return self.state
 
 
-def make_service(harness: OwnerHarness) -> SettingsService:
+def make_service(harness: OwnerHarness, vm_state: str = "ready") -> SettingsService:
     async def find_preempted_jobs(put: SettingsPut, model: Any) -> PreemptedJobs:
         return PreemptedJobs(job_ids=["j"], problem="no answer from vm2")
 
     return SettingsService(
         state=harness.state,
         journal=harness,
-        vm_state=VmReady(),
+        vm_state=FixedVmState(vm_state),
         waiters=Waiters(),
         counters=Counters(),
         find_preempted_jobs=find_preempted_jobs,
@@ -373,6 +424,30 @@
     )
 
 
+@pytest.mark.parametrize("state", ["starting", "no_state"])
+def test_settings_are_not_handed_out_before_the_end_of_the_log(state: str) -> None:
+    """Guards against settings that revert in an entry process when its scheduler restarts.
+
+    The new incarnation has no settings at first, or those of an old snapshot.
+    """
+
+    async def run() -> None:
+        harness = OwnerHarness()
+        known = WatchRequest(
+            settings_version=99,
+            state="ready",
+            surroundings=Surroundings(live_vms=3),
+            wait_seconds=0,
+        )
+        reply = await make_service(harness, state).watch(known)
+        assert (reply.state, reply.settings, reply.settings_version) == (state, None, 99)
+        assert reply.surroundings == known.surroundings
+        reply = await make_service(harness).watch(known)
+        assert reply.settings_version == harness.state.settings.version
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(("may_appear", "state"), [(True, "unknown"), (False, "not_run")])
 def test_settings_put_reports_whether_it_may_still_take_effect(
     may_appear: bool, state: str
--- a/packages/scheduler/tests/test_worker_link.py
+++ b/packages/scheduler/tests/test_worker_link.py
@@ -19,8 +19,16 @@
     WorkerUnreachableError,
 )
 from zinniaweir.wire.records import JobSpec
-from zinniaweir.wire.service import RemoteError
-from zinniaweir.wire.worker_service import ListReply, SyncReply, TaskStatus, WorkerEvent
+from zinniaweir.wire.service import RemoteError, snake_case
+from zinniaweir.wire.worker_service import (
+    ListReply,
+    ReserveRequest,
+    StartRequest,
+    SyncReply,
+    TaskStatus,
+    WorkerEvent,
+)
+from zinniaweir_standins.worker import WorkerStandin
 
 TIMEOUT = RemoteError(method="Sync", reason="timeout")
 HANG = object()
@@ -46,9 +54,61 @@
         pass
 
 
-def make(client: FakeClient, posted: list[Any], name: str = "w0") -> WorkerLink:
+class RestartingWorker:
+    """Client of a stand-in worker; calls on their way break when it restarts."""
+
+    def __init__(self) -> None:
+        self.standin = WorkerStandin(name="w0", accelerators=2)
+        self._restarted = asyncio.Event()
+
+    async def call(self, name: str, request: Any, *, timeout: float) -> Any:
+        answer = asyncio.ensure_future(getattr(self.standin, snake_case(name))(request))
+        restart = asyncio.ensure_future(self._restarted.wait())
+        try:
+            await asyncio.wait({answer, restart}, return_when=asyncio.FIRST_COMPLETED)
+            if restart.done():
+                raise RemoteError(method=name, reason="broken")
+            return answer.result()
+        finally:
+            answer.cancel()
+            restart.cancel()
+
+    async def start(self, link: WorkerLink, attempt: int = 1) -> str:
+        await link.command("Reserve", reserve(attempt))
+        return await link.command(
+            "Start", StartRequest(epoch=7, job_id="j", attempt=attempt, name="s", lease_seconds=5.0)
+        )
+
+    def end_tasks(self) -> None:
+        for running in list(self.standin._tasks.values()):
+            self.standin._end_task(running, "done", "")
+
+    def restart(self) -> None:
+        self.standin._kill()
+        self._restarted.set()
+        self._restarted = asyncio.Event()
+
+    def close(self) -> None:
+        pass
+
+
+def reserve(attempt: int, member: int = 0) -> ReserveRequest:
+    return ReserveRequest(
+        epoch=7,
+        job_id="j",
+        attempt=attempt,
+        member=member,
+        accelerators=(member,),
+        cores=1,
+        memory_bytes=1,
+        ttl_seconds=5.0,
+    )
+
+
+def make(client: Any, posted: list[Any], name: str = "w0", **fields: Any) -> WorkerLink:
+    leases = LeaseSettings()
     link = WorkerLink(
-        worker=name, host="h", port=1, epoch=7, leases=LeaseSettings(), post=posted.append
+        worker=name, host="h", port=1, epoch=7, leases=leases, post=posted.append, **fields
     )
     link._client.close()
     link._client = client
@@ -109,6 +169,17 @@
     assert kinds == [WorkerReachable, WorkerUnreachable, WorkerReachable]
 
 
+def test_worker_that_never_answers_a_sync_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an adopted gang that counts as running for ever.
+
+    Its worker answered the inventory of the new owner and died before the first long poll.
+    """
+    monkeypatch.setattr(module, "LOST_AFTER_SECONDS", 0.03)
+    monkeypatch.setattr(module, "RETRY_DELAY_SECONDS", 0.02)
+    posted = run_link(FakeClient(*[TIMEOUT] * 6), 0.2)
+    assert [type(message) for message in posted] == [WorkerUnreachable]
+
+
 def test_event_before_a_list_is_still_reported() -> None:
     """Guards against a job that never ends.
 
@@ -131,6 +202,115 @@
     assert [type(message) for message in posted] == [WorkerReachable, WorkerReport]
 
 
+def test_end_on_an_idle_worker_that_restarted_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a job that never ends after its worker restarted while it was idle.
+
+    The numbers of the worker's events start anew, below those that were already reported.
+    """
+    monkeypatch.setattr(module, "RETRY_DELAY_SECONDS", 0.005)
+    posted: list[Any] = []
+
+    async def run() -> None:
+        worker = RestartingWorker()
+        link = make(worker, posted)
+        task = asyncio.create_task(link.run())
+        for attempt in (1, 2):
+            await asyncio.sleep(0.02)
+            await worker.start(link, attempt)
+            worker.end_tasks()
+            await asyncio.sleep(0.02)
+            worker.restart()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+    ends = [e.attempt for m in posted if isinstance(m, WorkerReport) for e in m.events]
+    assert ends == [1, 2]
+
+
+@pytest.mark.parametrize("is_adopted", [False, True])
+def test_gang_of_a_former_incarnation_is_lost(
+    is_adopted: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a gang that counts as running for ever though a worker of it restarted.
+
+    The restart comes before the link renews the gang: while other workers have not answered the
+    start, or between the inventory of a new owner and its first long poll.
+    """
+    monkeypatch.setattr(module, "RETRY_DELAY_SECONDS", 0.005)
+    posted: list[Any] = []
+
+    async def run() -> None:
+        worker = RestartingWorker()
+        link = make(worker, posted)
+        await worker.start(link)
+        if is_adopted:
+            link = make(worker, posted)
+            await link.list()
+            worker.restart()
+            link.start_renewing("j", 1)
+        task = asyncio.create_task(link.run())
+        await asyncio.sleep(0.02)
+        if not is_adopted:
+            worker.restart()
+            await asyncio.sleep(0.02)
+            link.start_renewing("j", 1)
+            await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+    assert [m.worker for m in posted if isinstance(m, WorkerUnreachable)] == ["w0"]
+    assert isinstance(posted[-1], WorkerReachable)
+
+
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_gangs_are_taken_over_by_the_link_to_a_new_address(is_replaced: bool) -> None:
+    """Guards against another machine at the new address that is taken for the former worker.
+
+    Also guards against the end of gangs whose worker only changed its address.
+    """
+    posted: list[Any] = []
+
+    async def run() -> WorkerLink:
+        worker = RestartingWorker()
+        former = make(worker, posted)
+        await former.list()
+        await worker.start(former)
+        former.start_renewing("j", 1)
+        link = make(RestartingWorker() if is_replaced else worker, posted, former=former)
+        task = asyncio.create_task(link.run())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return link
+
+    link = asyncio.run(run())
+    assert (WorkerUnreachable in [type(message) for message in posted]) is is_replaced
+    assert bool(link._gangs) is not is_replaced
+
+
+def test_start_after_a_restart_between_two_reservations_is_refused() -> None:
+    """Guards against a part of a gang that runs: the worker forgot the other members it reserved.
+
+    Also guards against a restart that keeps later attempts from starting on the same worker.
+    """
+
+    async def run() -> list[str]:
+        worker = RestartingWorker()
+        link = make(worker, [])
+        await link.command("Reserve", reserve(1, member=1))
+        worker.restart()
+        first = await worker.start(link)
+        link.stop_renewing("j", 1)
+        worker.standin._tasks.clear()
+        return [first, await worker.start(link)]
+
+    assert asyncio.run(run()) == ["other_incarnation", ""]
+
+
 def test_refused_epoch_ends_the_link() -> None:
     """Guards against an owner that goes on after another VM took over the region."""
     posted = run_link(FakeClient(SyncReply(ok=False, refusal="stale_epoch")), 0.05)
--- a/packages/wire/src/zinniaweir/wire/worker_service.py
+++ b/packages/wire/src/zinniaweir/wire/worker_service.py
@@ -57,6 +57,8 @@
     payload: bytes = b""
     max_reservation_age_seconds: float = 0.0
     """Age of the newest reservation here above which the start is too late; 0 for no limit."""
+    incarnation: str = ""
+    """Incarnation of the worker that reserved the members; empty for any."""
 
 
 class GangRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,9 +85,14 @@
     ok: bool
     """Whether the command was carried out."""
     refusal: str = ""
-    """One of `stale_epoch`, `busy`, `unknown_gang`, `too_late`, `start_failed` or empty."""
+    """Reason of the refusal, or empty.
+
+    One of `stale_epoch`, `other_incarnation`, `busy`, `unknown_gang`, `too_late` or `start_failed`.
+    """
     epoch: int = 0
     """Highest epoch that the worker has received."""
+    incarnation: str = ""
+    """Incarnation of the worker."""
 
 
 class SyncRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,6 +106,8 @@
     """Sequence number after which events are returned."""
     wait_seconds: float
     """Maximum time to wait for an event."""
+    incarnation: str = ""
+    """Incarnation of the worker to which `after_sequence` belongs; empty for any."""
 
 
 class WorkerEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -132,11 +141,13 @@
 
     ok: bool
     refusal: str = ""
-    """Either `stale_epoch` or empty."""
+    """One of `stale_epoch`, `other_incarnation` or empty."""
     epoch: int = 0
     """Highest epoch that the worker has received."""
+    incarnation: str = ""
+    """Incarnation of the worker; compared for equality only."""
     sequence: int = 0
-    """Sequence number of the newest event."""
+    """Sequence number of the newest event; a restart begins anew."""
     events: list[WorkerEvent] = []
     usage: list[Usage] = []
 
@@ -155,6 +166,8 @@
     """Either `stale_epoch` or empty."""
     epoch: int = 0
     """Highest epoch that the worker has received."""
+    incarnation: str = ""
+    """Incarnation of the worker."""
     sequence: int = 0
     """Sequence number of the newest event."""
     tasks: list[TaskStatus] = []
--- a/standins/src/zinniaweir_standins/worker.py
+++ b/standins/src/zinniaweir_standins/worker.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import secrets
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -89,14 +90,15 @@
         fail_all: Every running task fails.
         fail_starts: Starts are refused.
         ignore_checkpoint: Checkpoint commands have no effect.
-        killed: The worker loses its tasks, events and epoch, as in a crash; the recorded history
-            is kept.
+        killed: The worker loses its tasks, events and epoch, and begins another incarnation, as
+            after a crash; the recorded history is kept.
     """
 
     def __init__(self, *, name: str, accelerators: int) -> None:
         self._name = name
         self._accelerators = accelerators
         self._epoch = 0
+        self._incarnation = _new_incarnation()
         self._tasks: dict[tuple[str, int, int], Task] = {}
         self._events: list[WorkerEvent] = []
         self._changed = asyncio.Event()
@@ -126,13 +128,15 @@
                 reserved_at=now,
             )
         self.faults.after("reserve")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def start(self, request: StartRequest) -> CommandReply:
         """Start the reserved members of an attempt and set the leases of all its members."""
         await self.faults.before("start")
         if refusal := self._check_epoch(request.epoch):
             return refusal
+        if request.incarnation not in ("", self._incarnation):
+            return self._refuse("other_incarnation")
         tasks = self._gang_tasks(request.job_id, request.attempt)
         if not tasks:
             return self._refuse("unknown_gang")
@@ -155,7 +159,7 @@
                 self._record(task, "start")
             task.lease_until = now + request.lease_seconds
         self.faults.after("start")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def stop(self, request: GangRequest) -> CommandReply:
         """Stop the members of an attempt."""
@@ -165,7 +169,7 @@
         for task in self._gang_tasks(request.job_id, request.attempt):
             self._end_task(task, "stopped", "stop")
         self.faults.after("stop")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def checkpoint(self, request: GangRequest) -> CommandReply:
         """Start a checkpoint; the members of an attempt end after it."""
@@ -179,7 +183,7 @@
                     task.state = "checkpointing"
                     task.checkpoint_until = now + task.payload.checkpoint_seconds
         self.faults.after("checkpoint")
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def throttle(self, request: ThrottleRequest) -> CommandReply:
         """Limit the members of an attempt to a share of their processor time."""
@@ -188,13 +192,13 @@
             return refusal
         for task in self._gang_tasks(request.job_id, request.attempt):
             task.share = request.share
-        return CommandReply(ok=True, epoch=self._epoch)
+        return CommandReply(ok=True, epoch=self._epoch, incarnation=self._incarnation)
 
     async def sync(self, request: SyncRequest) -> SyncReply:
         """Renew the leases of gangs and return events, waiting for new ones if asked to."""
         await self.faults.before("sync")
-        if request.epoch < self._epoch:
-            return SyncReply(ok=False, refusal="stale_epoch", epoch=self._epoch)
+        if refusal := self._check_sync(request):
+            return refusal
         self._epoch = request.epoch
         until = time.monotonic() + request.lease_seconds
         for gang in request.gangs:
@@ -204,12 +208,13 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), request.wait_seconds)
             await self.faults.before("sync")
-            if request.epoch < self._epoch:
-                return SyncReply(ok=False, refusal="stale_epoch", epoch=self._epoch)
+            if refusal := self._check_sync(request):
+                return refusal
         self.faults.after("sync")
         return SyncReply(
             ok=True,
             epoch=self._epoch,
+            incarnation=self._incarnation,
             sequence=self._sequence,
             events=[event for event in self._events if event.sequence > request.after_sequence],
             usage=self._usage(),
@@ -225,6 +230,7 @@
         return ListReply(
             ok=True,
             epoch=self._epoch,
+            incarnation=self._incarnation,
             sequence=self._sequence,
             tasks=[
                 TaskStatus(
@@ -267,6 +273,7 @@
         self._tasks.clear()
         self._events.clear()
         self._epoch = 0
+        self._incarnation = _new_incarnation()
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -341,8 +348,22 @@
         self._epoch = epoch
         return None
 
+    def _check_sync(self, request: SyncRequest) -> SyncReply | None:
+        refusal = ""
+        if request.epoch < self._epoch:
+            refusal = "stale_epoch"
+        elif request.incarnation not in ("", self._incarnation):
+            refusal = "other_incarnation"
+        if not refusal:
+            return None
+        return SyncReply(
+            ok=False, refusal=refusal, epoch=self._epoch, incarnation=self._incarnation
+        )
+
     def _refuse(self, refusal: str) -> CommandReply:
-        return CommandReply(ok=False, refusal=refusal, epoch=self._epoch)
+        return CommandReply(
+            ok=False, refusal=refusal, epoch=self._epoch, incarnation=self._incarnation
+        )
 
     def _usage(self) -> list[Usage]:
         return [
@@ -359,6 +380,10 @@
         ]
 
 
+def _new_incarnation() -> str:
+    return secrets.token_hex(8)
+
+
 def _task_key(task: Task) -> tuple[str, int, int]:
     return (task.request.job_id, task.request.attempt, task.request.member)
 
