dispatch: incarnations in the model of restarted workers have different numbers

On the platform this takes two starts in the same millisecond.

Change: the count of a machine's starts is added to the number.

--- a/packages/dispatch/tests/incarnation_world.py
+++ b/packages/dispatch/tests/incarnation_world.py
@@ -220,6 +220,7 @@
     name: str
     incarnation: Incarnation | None = None
     starts_at: float = 0.0
+    start_count: int = 0
     clock_offset: float = 0.0
     next_number: int | None = None
     """Number of the next incarnation; the time of day if it is None."""
@@ -577,7 +578,10 @@
         self.now += TICK_SECONDS
         for machine in self.machines.values():
             if machine.incarnation is None and self.now >= machine.starts_at:
-                number = machine.next_number or int((self.now + machine.clock_offset) * 1e3)
+                machine.start_count += 1
+                # Steps are coarser than the clock, so the count keeps the numbers apart.
+                started_ms = int((self.now + machine.clock_offset) * 1e3) + machine.start_count
+                number = machine.next_number or started_ms
                 self.boot(machine, began_at=self.now, number=number)
             self.report(machine)
             if machine.incarnation is not None:
