--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -79,9 +79,9 @@
         view: State of the platform as read from the log.
         log_port: The platform's log.
         workers: Client for calls to workers.
-        claim: The ownership claim of this epoch.
+        claim: The ownership claim of this epoch, as read from the log.
         sequence: Sequence number with which the claim was appended.
-        predecessor_ended: Whether the previous owner has provably ended.
+        claimed_at: When the claim was first sent, in seconds of `boottime`.
         time_limits: Durations that limit leases and retention.
         counters: Receives counts of decisions and failures.
         timers: Receives durations of waits and jobs.
@@ -95,7 +95,7 @@
         workers: WorkerClient,
         claim: OwnerClaim,
         sequence: int,
-        predecessor_ended: bool,
+        claimed_at: float,
         time_limits: TimeLimits,
         counters: Counters,
         timers: Timers,
@@ -104,14 +104,18 @@
         self._workers = workers
         self._claim = claim
         self._time_limits = time_limits
-        self._predecessor_ended = predecessor_ended
         self._counters = counters
         self._recorder = Recorder(
-            log_port=log_port, epoch=claim.epoch, sequence=sequence, counters=counters
+            log_port=log_port,
+            epoch=claim.epoch,
+            sequence=sequence,
+            claimed_at=claimed_at,
+            counters=counters,
         )
+        self._began_at = boottime()
         self._dispatcher = Dispatcher(
-            now=boottime(),
-            predecessor_ended=predecessor_ended,
+            now=self._began_at,
+            predecessor_ended=claim.sole,
             time_limits=time_limits,
             reporter=OwnerReporter(epoch=claim.epoch, counters=counters, timers=timers),
         )
@@ -162,7 +166,7 @@
             "owner_began",
             epoch=self.epoch,
             jobs=sum(1 for _ in self._view.job_table.jobs),
-            predecessor_ended=self._predecessor_ended,
+            predecessor_ended=self._claim.sole,
         )
         for entry in list(self._view.job_table.jobs):
             self.add_job(entry)
@@ -179,7 +183,8 @@
     async def release(self) -> None:
         """Record the release of the ownership and wait for the owner to end.
 
-        Another VM may claim a released ownership without waiting for a timeout.
+        Another VM may claim a released ownership without waiting for a timeout, and before the
+        record of the release is answered. So no lease is renewed and no start is sent from now on.
         """
         self._releasing = True
         self._record_wake.set()
@@ -259,7 +264,7 @@
             self._spawn(self._stop_orphan_run(worker, task, run))
 
     def _send_start(self, assignment: Assignment, now: float) -> None:
-        if self._dispatcher.prepare_start(assignment, now=now):
+        if not self._releasing and self._dispatcher.prepare_start(assignment, now=now):
             self._spawn(self._start(assignment))
 
     async def _start(self, assignment: Assignment) -> None:
@@ -406,13 +411,17 @@
     def _lease(self, worker: Worker, now: float) -> int | None:
         """Return the lease end to send with a poll, None if the lease must not be renewed.
 
-        The lease end is in milliseconds on the worker's clock.
+        The lease end is in milliseconds on the worker's clock. It counts from the lower bound of
+        that clock, so a poll that is carried out late gives no longer lease than the next owner
+        waits for.
         """
+        if self._releasing:
+            return None
         if not worker.clock.known or now - worker.answered_at > MAX_SILENCE_FOR_RENEWAL_SECONDS:
             return None
         if now - self._recorder.confirmed_at > self._time_limits.renewal_grace_seconds:
             return None
-        until = int(worker.clock.latest(now) + self._time_limits.lease_seconds * 1e3)
+        until = int(worker.clock.earliest(now) + self._time_limits.lease_seconds * 1e3)
         worker.lease_until_ms = max(worker.lease_until_ms, until)
         return until
 
@@ -466,11 +475,14 @@
 
     def _next_renewal(self) -> KeyedRecord:
         previous = self._claim
+        owned_seconds = boottime() - self._began_at
         self._claim = OwnerClaim(
             vm=previous.vm,
             incarnation=previous.incarnation,
             epoch=previous.epoch,
             beat=previous.beat + 1,
             released=self._releasing,
+            # By then, owners that were cut off from the log when this one began have stopped.
+            sole=previous.sole or owned_seconds > self._time_limits.renewal_grace_seconds,
         )
         return KeyedRecord(key=OWNER_KEY, value=encode_record(self._claim))
