dispatch: a run with an unreadable number on the next incarnation's list goes on there

Cause: a list sets aside a row whose run number cannot be read and names its task, but the replacement of an incarnation looked at readable rows only, so such a run was taken for lost while it ran. Change: its task counts as listed.

--- a/packages/dispatch/src/zinniaweir/dispatch/succession.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/succession.py
@@ -134,7 +134,7 @@
     for key, assignment in worker.assignments.items():
         settled_at = assignment.settled_at
         may_arrive = assignment.start_in_flight or assignment.start_unanswered
-        if key in listed:
+        if key in listed or assignment.task in listing.running_tasks:
             fates.moved.append(assignment)
         elif may_arrive and assignment.sent_at is not None:
             fates.late[key] = LateStart(unit=assignment.unit, sent_at=assignment.sent_at)
