dispatch: an incarnation is not ignored if its start time is that of an ended one

Cause: answers with the number of an ended incarnation were dropped, and a clock that stepped back can give the number once more. Change: an answer to a poll of the known incarnation is that one's or a later one's, so any other number is a later incarnation.

--- a/packages/dispatch/src/zinniaweir/dispatch/succession.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/succession.py
@@ -51,7 +51,7 @@
             now: Current time in seconds.
 
         Returns:
-            None if the answer is outdated: the incarnation that was polled is not the newest.
+            None if the incarnation that was polled has been replaced or removed meanwhile.
         """
         if self._fleet.get(worker.name) is not worker:
             return None
@@ -59,9 +59,6 @@
             if poll_sent_at >= worker.announced_at:
                 worker.withdraw_announcement()
             return worker
-        if listing.incarnation in worker.ended_incarnations:
-            self._count("other_incarnations", "ended")
-            return None
         return self._replace(worker, listing, poll_sent_at=poll_sent_at, now=now)
 
     def _replace(
@@ -88,7 +85,9 @@
         successor = Worker(
             entry=worker.entry,
             unlisted_incarnation=listing.incarnation,
-            ended_incarnations=worker.ended_incarnations | {worker.incarnation},
+            # A clock that stepped back may give the number of an ended incarnation once more.
+            ended_incarnations=(worker.ended_incarnations | {worker.incarnation})
+            - {listing.incarnation},
             missing_since=worker.missing_since,
         )
         announced = worker.announced
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -212,6 +212,21 @@
     assert again.run == 2
 
 
+def test_incarnation_with_the_number_of_an_ended_one_is_not_ignored() -> None:
+    """Guards against work that is lost with a worker whose clock stepped back between restarts."""
+    cluster = Cluster(worker_entry("w1"))
+    cluster.seconds = 30.0
+    cluster.add(job("j1"))
+    cluster.run(0.5)
+    fake = cluster.workers["w1"]
+    for incarnation in (2, 1):
+        fake.entry = worker_entry("w1", incarnation=incarnation)
+        fake.runs.clear()
+        cluster.run(1.0)
+    (assignment,) = cluster.assignments("j1")
+    assert (assignment.run, assignment.started) == (3, True)
+
+
 def test_draining_worker_and_evacuated_domain_get_no_work(cluster: Cluster) -> None:
     """Guards against starts on a worker that is about to leave."""
     for name in ("w1", "w2"):
