--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -23,7 +23,7 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
-from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream
+from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream, WorkerClient
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
@@ -52,7 +52,7 @@
 def new_node(
     vm: str,
     log: Log,
-    workers: MemoryWorkers,
+    workers: WorkerClient,
     *,
     peers: dict[str, Log] | None = None,
     strong: bool = True,
