--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -33,7 +33,7 @@
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
 from zinniaweir.node.owner import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
-from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream
+from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream, WorkerClient
 from zinniaweir.node.recorder import Recorder
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
@@ -63,7 +63,7 @@
 def new_node(
     vm: str,
     log: Log,
-    workers: MemoryWorkers,
+    workers: WorkerClient,
     *,
     peers: dict[str, Log] | None = None,
     strong: bool = True,
