--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -14,6 +14,7 @@
     Log,
     LogError,
     NoAnswerError,
+    Page,
     Stream,
     TrimmedError,
 )
@@ -141,8 +142,7 @@
         page = await self._call(self._log_port.newest(self._stream))
         end = page.end
         records += page.records
-        while page.more and page.records:
-            after = page.records[-1].key
+        while page.more and (after := _last_key(page)):
             page = await self._call(self._log_port.newest(self._stream, after=after))
             records += page.records
         self._reset()
@@ -236,3 +236,8 @@
                 error=f"{type(error).__name__}: {error}",
                 offset=self._next_offset,
             )
+
+
+def _last_key(page: Page) -> str:
+    """Return the key after which the next page begins; records that are unreadable have none."""
+    return next((record.key for record in reversed(page.records) if record.key), "")
--- a/packages/node/tests/test_follower.py
+++ b/packages/node/tests/test_follower.py
@@ -278,3 +278,22 @@
         await stream_follower.catch_up()
 
     asyncio.run(work())
+
+
+class UnreadableKeyLog(MemoryLog):
+    """A log with pages of two records, of which the last one's key cannot be read."""
+
+    async def newest(self, stream: Stream, *, after: str = "") -> Page:
+        if after == "":
+            first, odd = KeyedRecord(key="a", value=b"1"), KeyedRecord(key="", value=b"")
+            return Page(records=(first, odd), more=True, end=3)
+        assert after == "a"
+        odd, last = KeyedRecord(key="", value=b""), KeyedRecord(key="c", value=b"3")
+        return Page(records=(odd, last), more=False, end=3)
+
+
+def test_page_that_ends_with_an_unreadable_key_does_not_end_the_load() -> None:
+    """Guards against the jobs or workers of all later pages that a VM never reads."""
+    fold = Fold()
+    asyncio.run(follower(UnreadableKeyLog(), fold).catch_up())
+    assert set(fold.values) == {"a", "", "c"}
