workloads, dispatch, core: losses are weighed against what speaks for the work

Cause: the guard against work that crashes workers took three losses for proof, over a job's whole life, whichever member's worker was lost, however long the runs had lasted and however often workers crashed without the work.

Change: a loss names its members and how long the run is known to have lasted. Losses count together only if one member can explain them all (or, five of them, if all were at the start of a gang), and only if they are unlikely for sound work that ran as long, at the rate of crashes that the owner has seen without it. A run that lasts well beyond the lost ones clears its member and ends its isolation; the cached free capacity of its workers follows. Core uses the same rule.

Ruled out: more losses before work is given up (moves one error against the other), and forgetting losses by time (starts a deadly task for ever).

New tests fail on the code before: two of a gang that loses another member each time, a task that lasts, and the end of the isolation.

--- a/packages/core/src/zinniaweir/core/gangs.py
+++ b/packages/core/src/zinniaweir/core/gangs.py
@@ -89,6 +89,10 @@
         """Return whether it may only start where nothing runs, for a limited time."""
         return self.isolated and now < self.ready_at + AVOID_SECONDS
 
+    def seconds_run(self, until: float) -> float:
+        """Return for how long the current attempt has run at a time, 0 if it had not started."""
+        return max(0.0, until - self.started_at) if self.started_at >= self.placed_at else 0.0
+
     @property
     def placed(self) -> bool:
         """Whether it holds capacity."""
--- a/packages/core/src/zinniaweir/core/scheduler.py
+++ b/packages/core/src/zinniaweir/core/scheduler.py
@@ -73,7 +73,6 @@
 from zinniaweir.core.topology import Topology
 from zinniaweir.core.usage import UsageMonitor
 from zinniaweir.core.waiting import WaitingQueue
-from zinniaweir.workloads.losses import crashes_workers
 
 MAX_STARTS_PER_CALL: Final = 32
 """Gang starts in one call; the rest waits for the next wake-up, so that a call stays short."""
@@ -136,6 +135,7 @@
         """
         self._now = max(now, self._now)
         self._decisions = []
+        self._losses.watch(len(self._pool.nodes), now=self._now)
         self._fire_timers()
         self._apply(event)
         self._process_cancellations()
@@ -468,14 +468,15 @@
         node = self._pool.nodes[index]
         node.live = False
         self._pool.refresh(node)
+        alive_at = self._now - event.silent_seconds
         there = [
-            gang
+            (gang, [n for n, slot in enumerate(gang.slots) if slot.node == index])
             for gang in (self._gangs[job_id] for job_id in node.held)
             if gang.phase is not Phase.CLAIMING
             and not gang.cancelled
-            and gang.placed_at <= self._now - event.silent_seconds
+            and gang.placed_at <= alive_at
         ]
-        if self._losses.record(event.worker, there, now=self._now):
+        if self._losses.record(event.worker, there, now=self._now, alive_at=alive_at):
             self._change_losses(lambda gangs: self._losses.mark_shared(gangs, now=self._now))
         self._evacuate([node], Reason.WORKER_LOST)
 
@@ -757,7 +758,7 @@
             self._finish(gang, "unknown", Reason.MAY_HAVE_RUN, str(reason))
         elif reason is Reason.EXCEEDS_DECLARATION:
             self._finish(gang, "failed", reason)
-        elif crashes_workers(gang.losses):
+        elif self._losses.crashes_workers(gang):
             self._finish(gang, "failed", Reason.CRASHES_WORKERS, f"{len(gang.losses)} lost workers")
             self._change_losses(lambda gangs: self._losses.explain(gang, gangs))
         else:
@@ -779,6 +780,10 @@
         if gang.cancelled:
             self._finish(gang, "cancelled", Reason.CANCELLED)
             return
+        if gang.losses and all(loss.attempt != gang.attempt for loss in gang.losses):
+            self._losses.clear_survivors(
+                gang, range(gang.job.shape.members), seconds=gang.seconds_run(self._now)
+            )
         self._decisions.append(
             RequeueJob(
                 job_id=gang.job.job_id,
--- a/packages/core/tests/test_losses.py
+++ b/packages/core/tests/test_losses.py
@@ -58,6 +58,8 @@
         self.starts: Counter[str] = Counter()
         self.running: dict[str, tuple[int, set[str], float]] = {}
         """Attempt, workers and end of each running job."""
+        self.members: dict[str, list[str]] = {}
+        """Worker of each member of the newest attempt of a job."""
         self.ended: dict[str, str] = {}
         self.requeued: dict[str, d.RequeueJob] = {}
         self.down: dict[str, float] = {}
@@ -77,6 +79,7 @@
             case d.StartGang(job_id=job_id, attempt=attempt):
                 self.starts[job_id] += 1
                 workers = {member.worker for member in decision.members}
+                self.members[job_id] = [member.worker for member in decision.members]
                 self.running[job_id] = (attempt, workers, self.now + RUN_SECONDS)
                 self._pending.append(e.GangStarted(job_id=job_id, attempt=attempt))
             case d.StopGang(job_id=job_id, attempt=attempt):
@@ -173,6 +176,17 @@
     ] * 4
 
 
+def test_gang_that_loses_another_member_each_time_is_not_given_up() -> None:
+    """Guards against a sound gang that is failed after three crashes of its workers."""
+    region = Region()
+    region.submit(new_job("gang", members=4, accelerators=8))
+    for member in range(4):
+        region.run(2.0)
+        region.crash(region.members["gang"][member])
+    region.run(20.0)
+    assert region.ended["gang"] == "done: done"
+
+
 def test_next_owner_knows_the_losses() -> None:
     """Guards against an owner that grants a deadly job the same number of starts again."""
     region = Region()
--- a/packages/dispatch/src/zinniaweir/dispatch/crashes.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/crashes.py
@@ -4,15 +4,18 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import msgspec
 
 from zinniaweir.workloads.losses import (
+    EARLY_LOSS_SECONDS,
     MAX_RECENT_LOSSES,
     MIN_MASS_LOSS,
     SAME_TIME_SECONDS,
+    CrashRate,
     crashes_workers,
+    survives,
     unexplained_losses,
 )
 from zinniaweir.workloads.records import LossRecord
@@ -26,6 +29,19 @@
 """Reason for which a loss does not count: a unit that was there too is given up."""
 WORKER_RAN_ON: Final = "worker_ran_on"
 """Reason for which a loss does not count: the worker was cut off, and answers again."""
+RUN_LASTED: Final = "run_lasted"
+"""Reason for which a loss does not count: a later run lasts, and its worker with it."""
+
+
+class _RecentLoss(NamedTuple):
+    """A worker that was lost without a suspect on it."""
+
+    worker: str
+    incarnation: int
+    at: float
+    """When it last answered, in seconds."""
+    by_itself: bool
+    """Whether it counts as a crash by itself, since no run there was at its start."""
 
 
 class CrashSuspects:
@@ -33,8 +49,9 @@
 
     A unit takes the innocent units on its worker along, so a single loss tells nothing. Units that
     were lost together are placed apart, a unit with several losses runs alone on its workers, and
-    the losses of an innocent one are explained once a unit that shared them is given up. The losses
-    are part of a job's progress, so that the next owner knows them.
+    the losses of an innocent one are explained once a unit that shared them is given up, and do not
+    count once it has run for long enough. The losses are part of a job's progress, so that the next
+    owner knows them; how often workers crash in general is learned anew by each owner.
 
     Args:
         on_changed: Called with each job whose losses changed.
@@ -42,11 +59,12 @@
     """
 
     def __init__(self, *, on_changed: Callable[[OwnedJob], None], reporter: Reporter) -> None:
+        self._crash_rate = CrashRate()
         self._on_changed = on_changed
         self._log = reporter.log
         self._count = reporter.count
         self._units: dict[tuple[str, int], dict[Unit, None]] = {}
-        self._recent: deque[tuple[str, float]] = deque(maxlen=MAX_RECENT_LOSSES)
+        self._recent: deque[_RecentLoss] = deque(maxlen=MAX_RECENT_LOSSES)
 
     def add_job(self, job: OwnedJob) -> None:
         """Add the losses of a job that was read from the log."""
@@ -61,8 +79,21 @@
 
     def record_worker(self, worker: Worker) -> None:
         """Record that a worker is lost, whether or not anything ran there."""
-        if not _hosts_suspect(worker):
-            self._recent.append((worker.name, worker.answered_at))
+        if _hosts_suspect(worker):
+            return
+        by_itself = all(
+            _lasted_seconds(assignment, worker) > EARLY_LOSS_SECONDS
+            for assignment in worker.assignments.values()
+        )
+        if by_itself:
+            self._crash_rate.add_crash()
+        self._recent.append(
+            _RecentLoss(worker.name, worker.incarnation, at=worker.answered_at, by_itself=by_itself)
+        )
+
+    def watch(self, workers: int, *, now: float) -> None:
+        """Record that a number of workers is watched, to learn how often they crash."""
+        self._crash_rate.watch(workers, now=now)
 
     def record(
         self, assignments: Sequence[Assignment], *, worker: Worker | None, fleet: Iterable[Worker]
@@ -77,21 +108,35 @@
         Returns:
             The units that are to be given up.
         """
-        units = dict.fromkeys(a.unit for a in assignments if not a.unit.job.closed)
+        units: dict[Unit, list[Assignment]] = {}
+        for assignment in assignments:
+            if not assignment.unit.job.closed:
+                units.setdefault(assignment.unit, []).append(assignment)
         if not units or (worker is not None and worker.entry.draining):
             return []
-        lost = assignments[0]
         others: set[str] = set()
         if worker is not None:
             # A gang crashes several workers at once.
             hosts = {a.worker for unit in units for a in unit.assignments.values()}
             others = self._lost_at_the_same_time(worker, fleet) - hosts
-        sole = worker is not None and len(units) == 1 and len(others) < MIN_MASS_LOSS
-        for unit in units:
+        # Without a list of its own, this owner cannot tell what else was there.
+        listed = worker is not None and worker.listed_at is not None
+        sole = listed and len(units) == 1 and len(others) < MIN_MASS_LOSS
+        for unit, lost in units.items():
+            members = tuple(assignment.index for assignment in lost)
+            lasted = max(_lasted_seconds(assignment, worker) for assignment in lost)
             if any(loss.run == unit.run for loss in unit.losses):
                 # One loss for each run: a gang loses several workers if a failure domain fails.
+                self._add_members(unit, members, lasted)
                 continue
-            loss = LossRecord(unit.run, lost.worker, lost.incarnation, sole)
+            loss = LossRecord(
+                unit.run,
+                lost[0].worker,
+                lost[0].incarnation,
+                sole,
+                members=members,
+                lasted_seconds=lasted,
+            )
             unit.losses = (*unit.losses, loss)
             self._units.setdefault((loss.worker, loss.incarnation), {})[unit] = None
             self._on_changed(unit.job)
@@ -101,13 +146,45 @@
                 job_id=unit.job.job_id,
                 step=unit.step_number,
                 first=unit.indexes[0],
+                members=members,
                 run=unit.run,
                 worker=loss.worker,
+                lasted=round(lasted, 3),
                 losses=len(unit.losses),
                 units_there=len(units),
                 lost_at_the_same_time=len(others),
+                crash_rate=self._crash_rate_without(unit),
+            )
+        return [
+            unit
+            for unit in units
+            if crashes_workers(
+                unit.losses,
+                members=len(unit.indexes),
+                crash_rate=self._crash_rate_without(unit),
             )
-        return [unit for unit in units if crashes_workers(unit.losses)]
+        ]
+
+    def clear_survivor(self, assignment: Assignment, *, now: float) -> None:
+        """Clear a task of its unit's losses if its run lasts well beyond those that were lost.
+
+        Args:
+            assignment: The task's assignment, which its worker has.
+            now: Time at which the worker had it, in seconds.
+        """
+        unit, index = assignment.unit, assignment.index
+        if assignment.started_at is None or not any(index in loss.members for loss in unit.losses):
+            return
+        if not survives(unit.losses, member=index, seconds=now - assignment.started_at):
+            return
+        remaining = []
+        for loss in unit.losses:
+            members = tuple(member for member in loss.members if member != index)
+            if members:
+                remaining.append(msgspec.structs.replace(loss, members=members))
+            else:
+                self._discard(unit, [loss])
+        self._change(unit, remaining, worker=assignment.worker, reason=RUN_LASTED)
 
     def clear_worker(self, worker: str, incarnation: int) -> None:
         """Remove the losses on a worker that ran on and answers again."""
@@ -118,6 +195,11 @@
     def explain(self, culprit: Unit) -> None:
         """Mark the losses that other units shared with a unit that is given up."""
         for worker, incarnation in {(loss.worker, loss.incarnation) for loss in culprit.losses}:
+            for recent in list(self._recent):
+                if (recent.worker, recent.incarnation) == (worker, incarnation):
+                    self._recent.remove(recent)
+                    if recent.by_itself:
+                        self._crash_rate.remove_crash()
             for unit in self._units.get((worker, incarnation), ()):
                 if unit is culprit:
                     continue
@@ -148,7 +230,7 @@
 
         Those with a unit that was lost before are left out, since that unit explains their loss.
         """
-        lost = {name for name, at in self._recent if _same_time(at, worker.answered_at)}
+        lost = {loss.worker for loss in self._recent if _same_time(loss.at, worker.answered_at)}
         lost |= {
             other.name
             for other in fleet
@@ -158,6 +240,29 @@
         }
         return lost - {worker.name}
 
+    def _crash_rate_without(self, unit: Unit) -> float:
+        """Return how often workers crash without a unit, per second of one worker."""
+        lost = {(loss.worker, loss.incarnation) for loss in unit.losses}
+        own = sum(
+            recent.by_itself and (recent.worker, recent.incarnation) in lost
+            for recent in self._recent
+        )
+        return self._crash_rate.per_second(without=own)
+
+    def _add_members(self, unit: Unit, members: tuple[int, ...], lasted: float) -> None:
+        """Add tasks whose workers were lost in a run of which a worker was lost before."""
+        unit.losses = tuple(
+            msgspec.structs.replace(
+                loss,
+                members=tuple(dict.fromkeys((*loss.members, *members))),
+                lasted_seconds=max(loss.lasted_seconds, lasted),
+            )
+            if loss.run == unit.run
+            else loss
+            for loss in unit.losses
+        )
+        self._on_changed(unit.job)
+
     def _change(
         self, unit: Unit, losses: Iterable[LossRecord], *, worker: str, reason: str
     ) -> None:
@@ -188,6 +293,13 @@
     return loss.worker == worker and loss.incarnation == incarnation
 
 
+def _lasted_seconds(assignment: Assignment, worker: Worker | None) -> float:
+    """Return for how long a run on a lost worker is known to have lasted."""
+    if worker is None or worker.listed_at is None or assignment.started_at is None:
+        return 0.0
+    return max(0.0, worker.listed_at - assignment.started_at)
+
+
 def _hosts_suspect(worker: Worker) -> bool:
     """Return whether a unit that was lost with another worker before may have run on a worker."""
     return any(a.unit.losses and a.may_have_run for a in worker.assignments.values())
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -188,6 +188,10 @@
             )
         return found
 
+    def recompute_fits(self) -> None:
+        """Discard what is cached, since a unit on it may have become isolated, or cleared."""
+        self._fits.clear()
+
     def assign(self, assignment: Assignment) -> None:
         """Add an assignment and reserve its resources."""
         step = assignment.unit.step
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -82,7 +82,7 @@
         present = set()
         for row in listing.running:
             present.add((row.task, row.run))
-            self._handle_active_run(worker, row, now)
+            self._handle_active_run(worker, row, poll_sent_at=poll_sent_at, now=now)
         for task, run in (*worker.orphan_runs, *worker.assignments):
             if task in listing.running_tasks:
                 present.add((task, run))
@@ -105,7 +105,9 @@
             # A previous owner placed them on an earlier incarnation.
             self._runs.end_lost(lost, worker=None, cause="worker_born_again", now=now)
 
-    def _handle_active_run(self, worker: Worker, row: ActiveRun, now: float) -> None:
+    def _handle_active_run(
+        self, worker: Worker, row: ActiveRun, *, poll_sent_at: float, now: float
+    ) -> None:
         assignment = worker.assignments.get((row.task, row.run))
         if assignment is None:
             worker.add_orphan_run((row.task, row.run), self._unit_of(row.task))
@@ -119,6 +121,8 @@
             unit.checkpoint = row.checkpoint
         if not assignment.started:
             self._runs.mark_started(assignment, now)
+        if unit.losses:
+            self._runs.suspects.clear_survivor(assignment, now=poll_sent_at)
         if row.percent != assignment.percent or not assignment.progress_at:
             assignment.percent, assignment.progress_at = row.percent, now
         elif (
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -183,6 +183,10 @@
     def _on_losses_changed(self, job: OwnedJob) -> None:
         self.changed_jobs[job.job_id] = job
         self.changed = True
+        for assignment in job.assignments:
+            worker = self._fleet.get(assignment.worker)
+            if worker is not None:
+                worker.recompute_fits()
 
     def _complete_unit(self, assignment: Assignment, now: float) -> None:
         unit, job = assignment.unit, assignment.unit.job
--- a/packages/dispatch/tests/test_crashes.py
+++ b/packages/dispatch/tests/test_crashes.py
@@ -152,6 +152,59 @@
     assert {cluster.state(name) for name in good} == {"complete"}
 
 
+def test_gang_that_loses_another_member_each_time_is_not_given_up() -> None:
+    """Guards against LOST: a sound gang is shown as failed after three crashes of its workers."""
+    cluster = CrashingCluster(12)
+    cluster.durations["gang"] = 30.0
+    cluster.run(1.0)
+    cluster.add(job("gang", msgspec.structs.replace(TASK, count=4, accelerators=8, gang=True)))
+    for member in range(4):
+        while sum(assignment.started for assignment in cluster.assignments("gang")) < 4:
+            cluster.tick()
+        cluster.run(3.0)
+        crashed = next(a for a in cluster.assignments("gang") if a.index == member)
+        cluster.crash(crashed.worker)
+        cluster.run(8.0)
+    cluster.run(30.0)
+    assert cluster.state("gang") == "complete"
+
+
+def test_task_that_lasts_is_not_given_up_since_its_workers_crash_now_and_then() -> None:
+    """Guards against LOST: a long task loses its worker several times, as idle workers are."""
+    cluster = CrashingCluster(4)
+    cluster.durations["long"] = 400.0
+    cluster.run(1.0)
+    cluster.add(job("long", TASK))
+    for _ in range(6):
+        cluster.run(100.0)
+        (assignment,) = cluster.assignments("long")
+        cluster.crash(next(name for name in cluster.workers if name != assignment.worker))
+        cluster.run(100.0)
+        cluster.crash(assignment.worker)
+        cluster.run(7.0)
+    cluster.run(410.0)
+    assert cluster.state("long") == "complete"
+
+
+def test_run_that_lasts_ends_the_isolation_of_its_unit() -> None:
+    """Guards against workers that a cleared unit keeps to itself for the rest of its run."""
+    cluster = CrashingCluster(1)
+    cluster.durations["long"] = 60.0
+    cluster.run(1.0)
+    cluster.add(job("long", TASK))
+    for _ in range(2):
+        cluster.run(1.0)
+        (assignment,) = cluster.assignments("long")
+        cluster.crash(assignment.worker)
+        cluster.run(6.5)
+    (unit,) = cluster.dispatcher.jobs["long"].units
+    assert unit.isolated
+    add_innocents(cluster, 1)
+    cluster.run(12.0)
+    assert not unit.losses
+    assert cluster.state("good0") == "complete"
+
+
 def test_next_owner_knows_the_crashes() -> None:
     """Guards against an owner that grants a deadly task the same number of starts again."""
     cluster = CrashingCluster(8)
--- a/packages/scheduler/src/zinniaweir/scheduler/core_inputs.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/core_inputs.py
@@ -137,6 +137,8 @@
             at=loss.at,
             sole=loss.sole,
             explained=loss.explained,
+            members=loss.members,
+            lasted_seconds=loss.lasted_seconds,
         )
         for loss in losses
     )
@@ -151,6 +153,8 @@
             at=loss.at,
             sole=loss.sole,
             explained=loss.explained,
+            members=loss.members,
+            lasted_seconds=loss.lasted_seconds,
         )
         for loss in losses
     )
--- a/packages/wire/src/zinniaweir/wire/records.py
+++ b/packages/wire/src/zinniaweir/wire/records.py
@@ -133,6 +133,10 @@
     """Whether nothing else can explain the loss: no other job there, no wider failure."""
     explained: bool = False
     """Whether another job that was there turned out to crash workers."""
+    members: tuple[int, ...] = ()
+    """Members on lost workers, less those cleared since; unknown if it is empty."""
+    lasted_seconds: float = 0.0
+    """Time for which the attempt is known to have run before the loss."""
 
 
 class JobRequeued(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -71,6 +71,10 @@
     """Whether nothing else can explain the loss: no other unit there, no wider failure."""
     explained: bool = False
     """Whether another unit that was there turned out to crash workers."""
+    members: tuple[int, ...] = ()
+    """Indexes of the tasks on lost workers, less those cleared since; unknown if it is empty."""
+    lasted_seconds: float = 0.0
+    """Time for which these tasks are known to have run before the loss."""
 
 
 class UnitRecord(msgspec.Struct, frozen=True, array_like=True):
