dispatch, workloads: starts that may arrive late outlast a change of the owner

Callers could see a task run twice (TWICE) after the owner changed and a worker restarted under its name: a start without an answer, carried out late by the worker's next incarnation, ran beside the task's next run.

Cause: what takes one owner for the last. A new owner took an inherited assignment that its worker does not list for one whose start cannot arrive, since the worker knows the new epoch; a restarted worker does not. And starts without an answer whose runs had ended were known to the former owner alone.

Change: a start without an answer is kept with its unit and in the unit's record for 15 s, and an inherited assignment that has not started counts as one. The next owner expects them on the worker's present incarnation: it stops them there first, and the task waits for that.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -8,7 +8,7 @@
 
 from zinniaweir.dispatch.departure import units_to_move
 from zinniaweir.dispatch.expiry import Expiry
-from zinniaweir.dispatch.fleet import Fleet, LateStart, Worker
+from zinniaweir.dispatch.fleet import Fleet, Worker
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.inherited import InheritedAssignments
 from zinniaweir.dispatch.listings import Listings
@@ -26,7 +26,7 @@
 from zinniaweir.dispatch.runs import Runs
 from zinniaweir.dispatch.succession import Succession
 from zinniaweir.dispatch.time_limits import TimeLimits
-from zinniaweir.dispatch.units import Assignment, OwnedJob
+from zinniaweir.dispatch.units import Assignment, LateStart, OwnedJob
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import Configuration
 from zinniaweir.workloads.records import Progress
@@ -107,6 +107,8 @@
             expiry=self._expiry,
             reporter=reporter,
         )
+        self._inherited_late_starts: dict[str, list[LateStart]] = {}
+        """Starts of previous owners that may still arrive, by worker that is not known yet."""
         self._planned_at = float("-inf")
         self._planner = Planner(
             fleet=self._fleet,
@@ -164,6 +166,9 @@
         self._runs.changed = True
         job = self._jobs[job_id] = OwnedJob(entry, now=now, age=age)
         self._runs.suspects.add_job(job)
+        for unit in job.units:
+            for start in unit.late_starts.values():
+                self._inherited_late_starts.setdefault(start.worker, []).append(start)
         for assignment in job.assignments:
             self._adopt(assignment)
             if job.closed:
@@ -203,6 +208,10 @@
             for assignment in self._inherited.pop_for_worker(worker.name):
                 # The previous owner's start may have reached a later incarnation, whose list tells.
                 worker.assign(assignment)
+            for start in self._inherited_late_starts.pop(worker.name, ()):
+                worker.add_late_start(start)
+                if start.key not in worker.assignments:
+                    worker.add_orphan_run(start.key, start.unit)
 
     def handle_listing(
         self,
@@ -297,9 +306,14 @@
         self._count("starts", answer)
         worker = self._fleet.get(assignment.worker)
         if answer is StartAnswer.UNKNOWN and worker is not None:
-            worker.late_starts[assignment.task, assignment.run] = LateStart(
-                unit=assignment.unit,
-                sent_at=now if assignment.sent_at is None else assignment.sent_at,
+            worker.add_late_start(
+                LateStart(
+                    unit=assignment.unit,
+                    index=assignment.index,
+                    run=assignment.run,
+                    worker=assignment.worker,
+                    sent_at=now if assignment.sent_at is None else assignment.sent_at,
+                )
             )
         if self._worker_of(assignment) is None:
             return
@@ -461,6 +475,9 @@
         Jobs past their retention are removed.
         """
         runs, listings = self._runs, self._listings
+        for job in runs.changed_jobs.values():
+            for unit in job.units:
+                unit.forget_late_starts(now)
         changes = Changes(
             progress=[job.progress() for job in runs.changed_jobs.values()],
             placed=runs.placed,
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -8,7 +8,7 @@
 
 from zinniaweir.dispatch.clock import WorkerClock
 from zinniaweir.dispatch.messages import TaskId, WorkerEntry
-from zinniaweir.dispatch.units import Assignment, Demand, Unit
+from zinniaweir.dispatch.units import Assignment, Demand, LateStart, Unit
 from zinniaweir.workloads.spec import MAX_TASKS
 
 MAX_SILENCE_SECONDS: Final = 2.0
@@ -29,10 +29,6 @@
 """
 
 
-LATE_CALL_SECONDS: Final = 15.0
-"""A call without an answer may be carried out within this time, also by a later incarnation."""
-
-
 @dataclass(kw_only=True, eq=False)
 class OrphanRun:
     """A run without an assignment, or a start for an earlier incarnation that may still arrive."""
@@ -44,15 +40,6 @@
     """When a stop was acknowledged, after which the worker rejects starts of the run."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class LateStart:
-    """A start without an answer, which may be carried out late."""
-
-    unit: Unit
-    sent_at: float
-    """When its newest copy was sent, in seconds."""
-
-
 @dataclass(kw_only=True, eq=False)
 class Worker:
     """One incarnation of a worker."""
@@ -238,9 +225,14 @@
     def forget_late_starts(self, now: float) -> None:
         """Remove the starts that cannot arrive any more."""
         for key, start in list(self.late_starts.items()):
-            if now - start.sent_at > LATE_CALL_SECONDS:
+            if not start.may_arrive(now):
                 del self.late_starts[key]
 
+    def add_late_start(self, start: LateStart) -> None:
+        """Add a start that may still arrive after the worker restarts."""
+        self.late_starts[start.key] = start
+        start.unit.late_starts[start.key] = start
+
     def announce(self, entry: WorkerEntry, *, now: float) -> None:
         """Apply an entry of another incarnation, which is asked before it counts."""
         if entry.incarnation in self.ended_incarnations:
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -97,6 +97,10 @@
                 worker, assignment, poll_sent_at, now
             ):
                 continue
+            late_start = assignment.late_start
+            if assignment.inherited and late_start is not None:
+                # The fence of this epoch is forgotten if the worker restarts.
+                worker.add_late_start(late_start)
             if assignment.incarnation == worker.incarnation:
                 self._runs.end(assignment, RunEnd.LOST, "", now, cause="not_listed")
             else:
--- a/packages/dispatch/src/zinniaweir/dispatch/succession.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/succession.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from zinniaweir.dispatch.fleet import LateStart, Worker
+from zinniaweir.dispatch.fleet import Worker
 
 if TYPE_CHECKING:
     from zinniaweir.dispatch.expiry import Expiry
     from zinniaweir.dispatch.fleet import Fleet
-    from zinniaweir.dispatch.messages import Listing, TaskId
+    from zinniaweir.dispatch.messages import Listing
     from zinniaweir.dispatch.reporting import Reporter
-    from zinniaweir.dispatch.units import Assignment
+    from zinniaweir.dispatch.units import Assignment, LateStart
 
 
 class Succession:
@@ -74,7 +74,9 @@
         self._fleet.replace(successor)
         for assignment in fates.moved:
             successor.assign(assignment)
-        successor.late_starts |= worker.late_starts | fates.late
+        successor.late_starts |= worker.late_starts
+        for start in fates.late:
+            successor.add_late_start(start)
         successor.forget_late_starts(now)
         for key, start in successor.late_starts.items():
             if key not in successor.assignments:
@@ -123,20 +125,20 @@
 
     moved: list[Assignment]
     """Those that the next incarnation has, or may have begun since the poll was sent."""
-    late: dict[tuple[TaskId, int], LateStart]
+    late: list[LateStart]
     """Starts of lost ones that may still arrive at the next incarnation."""
 
 
 def _fates(worker: Worker, listing: Listing, *, poll_sent_at: float) -> _Fates:
     listed = {(row.task, row.run) for row in (*listing.running, *listing.ended)}
-    fates = _Fates(moved=[], late={})
+    fates = _Fates(moved=[], late=[])
     for key, assignment in worker.assignments.items():
         settled_at = assignment.settled_at
-        may_arrive = assignment.start_in_flight or assignment.start_unanswered
+        late_start = assignment.late_start
         if key in listed or assignment.task in listing.running_tasks:
             fates.moved.append(assignment)
-        elif may_arrive and assignment.sent_at is not None:
-            fates.late[key] = LateStart(unit=assignment.unit, sent_at=assignment.sent_at)
+        elif late_start is not None:
+            fates.late.append(late_start)
         elif settled_at is not None and settled_at >= poll_sent_at:
             fates.moved.append(assignment)
     return fates
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from zinniaweir.dispatch.messages import TaskId
 from zinniaweir.workloads.job_table import JobEntry
@@ -13,6 +13,7 @@
 from zinniaweir.workloads.records import (
     AssignmentRecord,
     JobState,
+    LateStartRecord,
     LossRecord,
     Progress,
     UnitRecord,
@@ -23,6 +24,10 @@
     from zinniaweir.dispatch.fleet import OrphanRun
 
 
+LATE_CALL_SECONDS: Final = 15.0
+"""A call without an answer may be carried out within this time, also by a later incarnation."""
+
+
 class Demand(NamedTuple):
     """Resources that one task needs on a worker."""
 
@@ -31,6 +36,27 @@
     accelerators: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class LateStart:
+    """A start without an answer, which may be carried out late."""
+
+    unit: Unit
+    index: int
+    run: int
+    worker: str
+    sent_at: float
+    """When its newest copy was sent, or the latest time if a previous owner sent it, in seconds."""
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """Its task and run."""
+        return TaskId(self.unit.job.job_id, self.unit.step_number, self.index), self.run
+
+    def may_arrive(self, now: float) -> bool:
+        """Return whether it may still be carried out."""
+        return now - self.sent_at <= LATE_CALL_SECONDS
+
+
 @dataclass(kw_only=True, eq=False)
 class Assignment:
     """One task of a run on a worker; it holds resources there until its end is known."""
@@ -82,6 +108,20 @@
         """Whether a copy of the start may have taken effect."""
         return self.inherited or self.started or self.start_unanswered or self.start_in_flight
 
+    @property
+    def late_start(self) -> LateStart | None:
+        """Its start if a copy may still arrive, as far as this owner knows; None if none may."""
+        if self.inherited and not self.started:
+            # The previous owner may have sent it until this one took over.
+            sent_at = self.placed_at
+        elif (self.start_in_flight or self.start_unanswered) and self.sent_at is not None:
+            sent_at = self.sent_at
+        else:
+            return None
+        return LateStart(
+            unit=self.unit, index=self.index, run=self.run, worker=self.worker, sent_at=sent_at
+        )
+
     @property
     def task(self) -> TaskId:
         """Id of the task."""
@@ -114,6 +154,8 @@
     """Assignments of the newest run that may still be in use, by index."""
     orphan_runs: dict[OrphanRun, None] = field(default_factory=dict, repr=False)
     """Runs of it that no assignment stands for; it is not placed again before they have ended."""
+    late_starts: dict[tuple[TaskId, int], LateStart] = field(default_factory=dict, repr=False)
+    """Starts of it that may still arrive, by task and run."""
     waiting_since: float = 0.0
     wait_logged: bool = False
     """Whether its current wait has been logged."""
@@ -140,6 +182,12 @@
         """Whether it is not done and no run of it can be in progress."""
         return not (self.done or self.assignments or self.orphan_runs)
 
+    def forget_late_starts(self, now: float) -> None:
+        """Remove the starts that cannot arrive any more."""
+        for key, start in list(self.late_starts.items()):
+            if not start.may_arrive(now):
+                del self.late_starts[key]
+
     def record(self) -> UnitRecord:
         """Return the unit as it is stored in the log."""
         assignments = tuple(
@@ -154,6 +202,7 @@
             self.checkpoint,
             assignments,
             self.losses,
+            tuple(LateStartRecord(s.index, s.run, s.worker) for s in self.late_starts.values()),
         )
 
 
@@ -263,6 +312,11 @@
             }
             unit.run_checkpoint = record.checkpoint
             unit.losses = record.losses
+            for late in record.late_starts:
+                start = LateStart(
+                    unit=unit, index=late.index, run=late.run, worker=late.worker, sent_at=now
+                )
+                unit.late_starts[start.key] = start
             if record.done:
                 self.finish_unit(unit)
         self.failed = progress.state == JobState.FAILED
--- a/packages/dispatch/tests/test_incarnations.py
+++ b/packages/dispatch/tests/test_incarnations.py
@@ -176,3 +176,55 @@
     world.restart_first(number=number + 1_500)
     world.play(2.5)
     assert world.running("w0")
+
+
+def deliver_late_starts(world: ScriptedWorld) -> None:
+    """Let the present incarnation carry out the starts that were held up."""
+    incarnation = world.first.incarnation
+    assert incarnation is not None
+    starts = [call for call in world.taken if call.func is Incarnation.start]
+    assert starts, "no start was sent"
+    for call in starts:
+        call(incarnation, late=True)
+    world.check_runs()
+
+
+def test_new_owner_expects_starts_of_the_former_one_in_the_next_incarnation() -> None:
+    """Guards against TWICE: a start of the former owner meets a worker that has restarted.
+
+    The new owner took the fence of its own epoch for proof, which the restarted worker lacks.
+    """
+    world = ScriptedWorld(machines=2)
+    world.crash(world.machines["w1"], down_seconds=0.4)
+    world.taken_calls = (Incarnation.start,)
+    world.add_job("single", SINGLE)
+    world.play(0.5)
+    world.restart_first(cut_seconds=1.0)
+    world.replace_owner()
+    world.taken_calls = (Incarnation.start, Incarnation.stop)
+    world.play(1.0)
+    world.taken_calls = (Incarnation.start, Incarnation.stop, Incarnation.poll)
+    world.first.incarnation.fence = 0
+    deliver_late_starts(world)
+    world.taken_calls = ()
+    world.play(12.0)
+    world.assert_complete()
+
+
+def test_starts_that_may_still_arrive_outlast_a_change_of_the_owner() -> None:
+    """Guards against TWICE: the next owner knows nothing of a start that its log has no run for."""
+    world = ScriptedWorld(machines=2)
+    world.crash(world.machines["w1"], down_seconds=0.4)
+    world.taken_calls = (Incarnation.start,)
+    world.add_job("single", SINGLE)
+    world.play(0.5)
+    world.restart_first(cut_seconds=1.0)
+    world.taken_calls = (Incarnation.start, Incarnation.stop)
+    world.play(1.0)
+    world.replace_owner()
+    world.taken_calls = (Incarnation.start, Incarnation.stop, Incarnation.poll)
+    world.play(1.5)
+    deliver_late_starts(world)
+    world.taken_calls = ()
+    world.play(12.0)
+    world.assert_complete()
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -61,6 +61,14 @@
     """Start time of the worker's incarnation, which distinguishes incarnations with one name."""
 
 
+class LateStartRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A start without an answer, which its worker may carry out late, also after a restart."""
+
+    index: int
+    run: int
+    worker: str
+
+
 class LossRecord(msgspec.Struct, frozen=True, array_like=True):
     """A run that was lost with its worker, which it may have crashed."""
 
@@ -92,6 +100,8 @@
     """Assignments of the newest run whose end is not known yet."""
     losses: tuple[LossRecord, ...] = ()
     """Runs that were lost with their workers."""
+    late_starts: tuple[LateStartRecord, ...] = ()
+    """Starts that may still arrive."""
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True, tag="progress", omit_defaults=True):
