dispatch: a task waits while its start may arrive at a silent worker

Callers could see a task run twice (TWICE) as a worker restarted under its name: the next incarnation carried out a late start before the owner could stop it.

A list without the run proved that the start cannot take effect in that incarnation; the task was then placed elsewhere although the worker had stopped answering, as one that restarts does.

A worker that is gone from the platform's list is not waited for, so work on workers that come back under another name is not delayed.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -26,7 +26,7 @@
 from zinniaweir.dispatch.runs import Runs
 from zinniaweir.dispatch.succession import Succession
 from zinniaweir.dispatch.time_limits import TimeLimits
-from zinniaweir.dispatch.units import Assignment, LateStart, OwnedJob
+from zinniaweir.dispatch.units import Assignment, LateStart, OwnedJob, Unit
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import Configuration
 from zinniaweir.workloads.records import Progress
@@ -109,6 +109,7 @@
         )
         self._inherited_late_starts: dict[str, list[LateStart]] = {}
         """Starts of previous owners that may still arrive, by worker that is not known yet."""
+        self._held: dict[Unit, None] = {}
         self._planned_at = float("-inf")
         self._planner = Planner(
             fleet=self._fleet,
@@ -457,6 +458,7 @@
             return
         self._runs.changed, self._planned_at = False, now
         self._expiry.apply(now)
+        self._hold_units_with_late_starts(now)
         for unit in units_to_move(
             self._fleet,
             expected_end=lambda assignment: self._planner.expected_end(assignment, now),
@@ -469,6 +471,25 @@
             stop=lambda unit, reason: self._runs.stop_unit(unit, reason, now),
         )
 
+    def _hold_units_with_late_starts(self, now: float) -> None:
+        """Let units wait while their starts may arrive at workers that may be restarting.
+
+        The next incarnation carries such a start out before it can be told to stop it. A worker
+        that is gone from the platform's list is not waited for.
+        """
+        held: dict[Unit, None] = {
+            start.unit: None
+            for worker in self._fleet
+            if worker.unanswered and worker.missing_since is None
+            for start in worker.late_starts.values()
+            if start.may_arrive(now)
+        }
+        for unit in self._held:
+            unit.awaits_worker = False
+        for unit in held:
+            unit.awaits_worker = True
+        self._held = held
+
     def collect_changes(self, *, now: float) -> Changes:
         """Return and reset the changes since the last call, to be written in one append.
 
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -156,6 +156,8 @@
     """Runs of it that no assignment stands for; it is not placed again before they have ended."""
     late_starts: dict[tuple[TaskId, int], LateStart] = field(default_factory=dict, repr=False)
     """Starts of it that may still arrive, by task and run."""
+    awaits_worker: bool = False
+    """Whether a start of it may still arrive at a worker that does not answer now."""
     waiting_since: float = 0.0
     wait_logged: bool = False
     """Whether its current wait has been logged."""
@@ -180,7 +182,7 @@
     @property
     def waiting(self) -> bool:
         """Whether it is not done and no run of it can be in progress."""
-        return not (self.done or self.assignments or self.orphan_runs)
+        return not (self.done or self.assignments or self.orphan_runs or self.awaits_worker)
 
     def forget_late_starts(self, now: float) -> None:
         """Remove the starts that cannot arrive any more."""
--- a/packages/dispatch/tests/test_incarnations.py
+++ b/packages/dispatch/tests/test_incarnations.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from random import Random
 from typing import Any
 
 import pytest
 
+from zinniaweir.dispatch.messages import StartAnswer
+from zinniaweir.dispatch.units import Assignment
 from zinniaweir.workloads.records import JobState
 
+from .conftest import Cluster, job, worker_entry
 from .incarnation_world import (
     CLOCK_STEPS,
     LATE_CALLS,
@@ -228,3 +232,38 @@
     world.taken_calls = ()
     world.play(12.0)
     world.assert_complete()
+
+
+class StartLosingCluster(Cluster):
+    """A cluster that loses all starts, which may be carried out late."""
+
+    def start(self, assignment: Assignment) -> None:
+        if self.dispatcher.prepare_start(assignment, now=self.now):
+            self.dispatcher.handle_start_answer(assignment, StartAnswer.UNKNOWN, now=self.now)
+
+    def drain(self, name: str, draining: bool) -> None:
+        fake = self.workers[name]
+        fake.entry = replace(fake.entry, draining=draining)
+
+
+def test_task_waits_while_its_start_may_arrive_at_a_worker_that_does_not_answer() -> None:
+    """Guards against TWICE: a worker carries a late start out as soon as it has restarted."""
+    cluster = StartLosingCluster(worker_entry("w1"), worker_entry("w2"))
+    cluster.run(1.0)
+    cluster.drain("w2", True)
+    cluster.run(0.2)
+    cluster.add(job("single"))
+    cluster.run(0.3)
+    (unit,) = cluster.dispatcher.jobs["single"].units
+    assert [assignment.worker for assignment in unit.assignments.values()] == ["w1"]
+    cluster.drain("w1", True)
+    cluster.run(6.0)
+    assert not unit.assignments
+    cluster.workers["w1"].silent = True
+    cluster.run(0.2)
+    cluster.drain("w2", False)
+    cluster.run(2.0)
+    assert not unit.assignments
+    cluster.workers["w1"].silent = False
+    cluster.run(0.5)
+    assert [assignment.worker for assignment in unit.assignments.values()] == ["w2"]
