dispatch, workloads: a failed run of a gang counts once across owners

Cause: the run of the last failure was not recorded, so the next owner took the end of another member for a further failed run.

Change: the unit's record holds the number of the run.

Evidence: test_next_owner_counts_a_failed_run_of_a_gang_no_second_time fails before.

--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -205,6 +205,7 @@
             assignments,
             self.losses,
             tuple(LateStartRecord(s.index, s.run, s.worker) for s in self.late_starts.values()),
+            self.failed_run,
         )
 
 
@@ -313,6 +314,7 @@
                 for assignment in record.assignments
             }
             unit.run_checkpoint = record.checkpoint
+            unit.failed_run = record.failed_run
             unit.losses = record.losses
             for late in record.late_starts:
                 start = LateStart(
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -269,6 +269,27 @@
     assert cluster.dispatcher.jobs["j1"].units[0].failures == 1
 
 
+def test_next_owner_counts_a_failed_run_of_a_gang_no_second_time(cluster: Cluster) -> None:
+    """Guards against LOST: a gang is shown as failed after one failed run of two.
+
+    Its members ended together; the owner changed before it had read the end of the last one.
+    """
+    for fake in cluster.workers.values():
+        fake.fails = True
+    entry = job("j1", StepSpec(count=4, accelerators=8, gang=True), max_attempts=2)
+    cluster.add(entry)
+    cluster.run(1.5)
+    cluster.workers["w4"].silent = True
+    cluster.run(1.5)
+    assert cluster.dispatcher.jobs["j1"].units[0].failures == 1
+    cluster.dispatcher = cluster.new_dispatcher()
+    cluster.add(JobEntry(submission=entry.submission, progress=cluster.records[-1]))
+    cluster.workers["w4"].silent = False
+    cluster.run(0.5)
+    assert cluster.dispatcher.jobs["j1"].units[0].failures == 1
+    assert cluster.state("j1") == "running"
+
+
 def test_new_owner_adopts_running_gang(cluster: Cluster) -> None:
     """Guards against a change of owner that ends running work."""
     cluster.seconds = 5.0
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -102,6 +102,8 @@
     """Runs that were lost with their workers."""
     late_starts: tuple[LateStartRecord, ...] = ()
     """Starts that may still arrive."""
+    failed_run: int = 0
+    """Run of the last failure, which the ends of its other members do not count again."""
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True, tag="progress", omit_defaults=True):
