workloads, dispatch, node, platform: the quota of a customer is kept

Cause: a customer's maximum was not decoded, so nothing limited what it has running.

Change: the configuration's maximum and weight are decoded into Customer. dispatch/quotas.py counts what may run of each customer in every planning pass and admits a unit only within the quota; the first unit that waits for the quota keeps what becomes free, and urgent work preempts less urgent work of its own customer. A job that can never fit is refused with exceeds_quota.

Ruled out: a running count that is updated at each event, since a count that drifts breaks the limit for good; using the tolerance that the platform grants, which late starts may need.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -117,6 +117,7 @@
             run_times=self._run_times,
             time_limits=time_limits,
             apart_from=self._runs.suspects.apart_from,
+            inherited=self._inherited,
             reporter=reporter,
         )
 
--- a/packages/dispatch/src/zinniaweir/dispatch/inherited.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/inherited.py
@@ -23,6 +23,9 @@
         """Return whether every lease of a previous owner has expired."""
         return now >= self._expires_at
 
+    def __iter__(self) -> Iterator[Assignment]:
+        return (found for group in self._assignments.values() for found in group.values())
+
     def add(self, assignment: Assignment) -> None:
         """Add an assignment."""
         self._assignments.setdefault(assignment.worker, {})[assignment.task, assignment.run] = (
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -12,16 +12,19 @@
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.ordering import Rank, rank
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
+from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
-from zinniaweir.workloads.queues import Configuration
+from zinniaweir.workloads.queues import Configuration, ResourceLimit
 
 PLACEMENT_SECONDS: Final = 0.4
 """Time to record and start a placement, while the view must stay recent enough for the start."""
 EXPECTED_STOP_SECONDS: Final = 0.6
 """Expected time until a stopped or overdue task has ended."""
+IDLE_QUOTA_SHARE: Final = 0.5
+"""A customer with less than this share of its quota in use has room for other work."""
 
 PlaceUnit = Callable[[Unit, list[Worker]], None]
 StopUnit = Callable[[Unit, str], None]
@@ -43,6 +46,7 @@
         time_limits: Durations that limit the age of views.
         apart_from: Returns the workers that a unit should keep away from, since the units there and
             this one were lost with one worker.
+        inherited: Assignments of a previous owner on workers that are not in the fleet yet.
         reporter: Receives log events and counts.
     """
 
@@ -54,15 +58,19 @@
         run_times: RunTimes,
         time_limits: TimeLimits,
         apart_from: Callable[[Unit], set[str]],
+        inherited: Iterable[Assignment],
         reporter: Reporter,
     ) -> None:
         self._fleet = fleet
+        self._inherited = inherited
         self._health = health
         self._run_times = run_times
         self._time_limits = time_limits
         self._apart_from = apart_from
         self._reporter = reporter
         self._guaranteed: dict[str, int] = {}
+        self._quotas: dict[str, ResourceLimit] = {}
+        self._quota_idle_since: dict[str, float] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
         self._jobs_read_at = float("-inf")
@@ -77,6 +85,7 @@
             evacuated: Failure domains that receive no work.
         """
         self._guaranteed = {c.name: c.guaranteed_accelerators for c in configuration.customers}
+        self._quotas = {c.name: c.quota for c in configuration.customers}
         self._evacuated = evacuated
 
     def update_view_time(self, read_at: float, *, jobs_read_at: float) -> None:
@@ -157,12 +166,20 @@
         if not waiting or now + PLACEMENT_SECONDS > self.starts_allowed_until:
             return
         covered = covered_jobs(open_jobs, self._guaranteed)
+        quotas = Quotas(self._quotas)
+        quotas.count_running(self._fleet, self._inherited, now)
+        self._quota_idle_since = {
+            customer: self._quota_idle_since.get(customer, now)
+            for customer in quotas.customers
+            if quotas.share_in_use(customer) < IDLE_QUOTA_SHARE
+        }
         context = PassContext(
             now=now,
             view_age=now - self._view_at,
             usable=[w for w in self._fleet if not self.exclusion_reason(w, now)],
             usable_soon=[w for w in self._fleet if self.usable_soon(w)],
             apart_from=self._apart_from,
+            quotas=quotas,
             place=place,
             stop=stop,
         )
@@ -215,6 +232,10 @@
             return now + elapsed / assignment.percent * (100 - assignment.percent)
         return now + max(expected - elapsed, EXPECTED_STOP_SECONDS)
 
+    def quota_idle_since(self, customer: str) -> float:
+        """Return since when most of a customer's quota is idle, in seconds; infinity if not."""
+        return self._quota_idle_since.get(customer, float("inf"))
+
     def claim_workers(self, unit: Unit, workers: Iterable[str], *, until: float) -> None:
         """Claim workers for a unit, for which work on them is preempted."""
         for name in workers:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -12,7 +12,8 @@
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.ordering import Rank
 from zinniaweir.dispatch.placement import allowed_on, choose_workers, max_rack_capacity
-from zinniaweir.dispatch.preemption import choose_eviction, unit_cores
+from zinniaweir.dispatch.preemption import choose_eviction, lost_core_seconds_of, unit_cores
+from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.reservations import BACKFILL_MARGIN, Reservation, reserve
 from zinniaweir.dispatch.run_times import RunTimes
@@ -50,6 +51,11 @@
 
 No job may wait with nothing running for 3 s while the cluster is idle.
 """
+MAX_QUOTA_WAIT_SECONDS: Final = 2.0
+"""Time with most of its customer's quota idle after which a job with nothing running may use it.
+
+No job may wait with nothing running for 3 s then.
+"""
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
 LARGE_TASK_SHARE: Final = 0.5
@@ -68,6 +74,9 @@
     def claimed_for_others(self, unit: Unit, now: float) -> set[str]:
         """Return the workers that are claimed for other units that still wait."""
 
+    def quota_idle_since(self, customer: str) -> float:
+        """Return since when most of a customer's quota is idle, in seconds; infinity if not."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class PassContext:
@@ -77,6 +86,8 @@
     """Current time in seconds."""
     apart_from: Callable[[Unit], set[str]]
     """Returns the workers that a unit should keep away from."""
+    quotas: Quotas
+    """Quotas of customers, with what they have in use."""
     view_age: float
     """Seconds since settings and the list of workers were read."""
     usable: Sequence[Worker]
@@ -111,6 +122,9 @@
     ) -> None:
         self._context = context
         self._now = context.now
+        self._quota_use = context.quotas
+        self._kept_until: dict[str, float] = {}
+        """When the quota of a customer has room for its first unit that waits for that."""
         self._planner_state = planner_state
         self._health = health
         self._run_times = run_times
@@ -139,7 +153,7 @@
             rank: The rank of its job.
             covered: Whether its job is covered by its customer's guarantee.
         """
-        if self._waits_for_sibling(unit):
+        if self._waits_for_sibling(unit) or self._waits_for_quota(unit, rank, covered=covered):
             return
         # Reserved workers are open to some units and closed to others with the same demand.
         placement_key = (*_placement_key(unit), unit.job.job_id if self._reservations else "")
@@ -157,6 +171,7 @@
         )
         if chosen is not None:
             self._context.place(unit, chosen)
+            self._quota_use.add(unit)
             for worker in chosen:
                 self._rack_use[worker.entry.rack] += unit.demand.accelerators
             return
@@ -166,14 +181,66 @@
             self._preempt_for(unit, rank, excluded, spread_allowed=spread_allowed, covered=covered)
         self._reserve_capacity(unit, rank, spread_allowed)
 
-    def _report_wait(self, unit: Unit, rank: Rank, excluded: set[str], *, covered: bool) -> None:
+    def _waits_for_quota(self, unit: Unit, rank: Rank, *, covered: bool) -> bool:
+        """Return whether a unit waits because of its customer's quota, and free some if urgent.
+
+        The first unit that does not fit keeps what becomes free until then: later ones of the
+        customer start only if they end before. Otherwise small work would starve a large gang.
+        """
+        customer = unit.job.customer
+        if self._quota_use.admits(unit):
+            kept_until = self._kept_until.get(customer)
+            if kept_until is None or self._ends_before(unit, kept_until):
+                return False
+            idle_since = self._planner_state.quota_idle_since(customer)
+            idle_too_long = self._now - idle_since > MAX_QUOTA_WAIT_SECONDS
+            if idle_too_long and self._has_waited_without_running(unit, MAX_QUOTA_WAIT_SECONDS):
+                return False
+            self._report_wait(unit, rank, set(), covered=covered, reason="quota")
+            return True
+        if not self._quota_use.ever_admits(unit):
+            self._report_wait(unit, rank, set(), covered=covered, reason="exceeds_quota")
+            return True
+        self._report_wait(unit, rank, set(), covered=covered, reason="quota")
+        if customer not in self._kept_until:
+            ends = (
+                (self._planner_state.expected_end(assignment, self._now), assignment)
+                for assignment in self._quota_use.assignments_of(customer)
+            )
+            self._kept_until[customer] = self._quota_use.frees_enough_at(unit, ends)
+        if unit.job.terms.priority == GUARANTEED_PRIORITY and not unit.isolated:
+            self._stop_own_work_for(unit, rank, covered=covered)
+        return True
+
+    def _ends_before(self, unit: Unit, time: float) -> bool:
+        """Return whether a unit that is started now is expected to end before a time."""
+        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
+        return self._now + BACKFILL_MARGIN * expected <= time
+
+    def _stop_own_work_for(self, unit: Unit, rank: Rank, *, covered: bool) -> None:
+        """Preempt less urgent work of the same customer, which takes the room in its quota."""
+        if not covered and rank.lateness > 0 or not self._preemption_due(unit):
+            return
+        victims = self._quota_use.units_to_stop_for(unit, now=self._now)
+        lost_core_seconds = sum(lost_core_seconds_of(victim, now=self._now) for victim in victims)
+        if not victims or not (covered or self._worth_losing(unit, lost_core_seconds)):
+            return
+        unit.preempted_for_at = self._now
+        self._preempt(victims, unit, "quota", lost_core_seconds)
+
+    def _report_wait(
+        self, unit: Unit, rank: Rank, excluded: set[str], *, covered: bool, reason: str = ""
+    ) -> None:
         if unit.wait_logged:
             return
         unit.wait_logged = True
         workers = self._open_to(unit, self._allowed_for(unit), excluded)
-        self._reporter.count("waits", "no_worker" if not workers else "no_room")
+        reason = reason or ("no_worker" if not workers else "no_room")
+        self._reporter.count("waits", reason)
         self._reporter.log(
             "unit_waits",
+            reason=reason,
+            customer=unit.job.customer,
             job_id=unit.job.job_id,
             step=unit.step_number,
             first=unit.indexes[0],
@@ -293,35 +360,46 @@
         self, unit: Unit, rank: Rank, excluded: set[str], *, spread_allowed: bool, covered: bool
     ) -> None:
         now = self._now
-        if (
-            unit.preempted_for_at is not None
-            and now - unit.preempted_for_at < PREEMPTION_INTERVAL_SECONDS
-        ):
-            return
-        if not covered and rank.lateness > 0:
-            return
-        if (
-            unit.preemption_searched_at is not None
-            and now - unit.preemption_searched_at < PREEMPTION_SEARCH_INTERVAL_SECONDS
-        ):
+        if not covered and rank.lateness > 0 or not self._preemption_due(unit):
             return
-        unit.preemption_searched_at = now
         workers = self._open_to(unit, self._allowed_for(unit), excluded)
         eviction = choose_eviction(unit, workers, now=now, spread_allowed=spread_allowed)
         if eviction is None:
             return
-        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
-        if (
-            not covered
-            and eviction.lost_core_seconds > MAX_PREEMPTION_LOSS_RATIO * unit_cores(unit) * expected
-        ):
+        if not (covered or self._worth_losing(unit, eviction.lost_core_seconds)):
             return
         unit.preempted_for_at = now
         self._planner_state.claim_workers(
             unit, eviction.workers, until=now + 2 * PREEMPTION_INTERVAL_SECONDS
         )
         reason = "guarantee" if covered else "urgent"
-        for victim in eviction.units:
+        self._preempt(eviction.units, unit, reason, eviction.lost_core_seconds)
+
+    def _preemption_due(self, unit: Unit) -> bool:
+        """Return whether work to preempt for a unit may be searched for again, and note it."""
+        now = self._now
+        if (
+            unit.preempted_for_at is not None
+            and now - unit.preempted_for_at < PREEMPTION_INTERVAL_SECONDS
+        ):
+            return False
+        if (
+            unit.preemption_searched_at is not None
+            and now - unit.preemption_searched_at < PREEMPTION_SEARCH_INTERVAL_SECONDS
+        ):
+            return False
+        unit.preemption_searched_at = now
+        return True
+
+    def _worth_losing(self, unit: Unit, lost_core_seconds: float) -> bool:
+        """Return whether urgent work beyond a guarantee may cost as much work of others."""
+        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
+        return lost_core_seconds <= MAX_PREEMPTION_LOSS_RATIO * unit_cores(unit) * expected
+
+    def _preempt(
+        self, victims: Iterable[Unit], unit: Unit, reason: str, lost_core_seconds: float
+    ) -> None:
+        for victim in victims:
             self._reporter.count("preemptions", reason)
             self._reporter.log(
                 "unit_preempted",
@@ -330,7 +408,7 @@
                 run=victim.run,
                 for_job=unit.job.job_id,
                 reason=reason,
-                lost_core_seconds=round(eviction.lost_core_seconds, 1),
+                lost_core_seconds=round(lost_core_seconds, 1),
             )
             self._context.stop(victim, "preempted")
 
--- a/packages/node/src/zinniaweir/node/answers.py
+++ b/packages/node/src/zinniaweir/node/answers.py
@@ -16,6 +16,8 @@
     LOG_UNAVAILABLE = "log_unavailable"
     UNSUPPORTED = "unsupported"
     """The queue requires a feature that this version lacks."""
+    EXCEEDS_QUOTA = "exceeds_quota"
+    """A gang or a task of the job needs more than its customer may use at a time."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -24,7 +24,8 @@
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
 from zinniaweir.workloads.job_table import JobEntry
-from zinniaweir.workloads.queues import Customer, QueueTerms
+from zinniaweir.workloads.queues import Customer, QueueTerms, ResourceLimit
+from zinniaweir.workloads.quotas import fits_quota
 from zinniaweir.workloads.records import (
     Cancellation,
     Submission,
@@ -52,6 +53,8 @@
 ANSWER_MARGIN_SHARE: Final = 0.2
 """Limit of the answer margin as a share of the remaining time, for callers with short deadlines."""
 APPEND_RETRY_DELAY_SECONDS: Final = 0.05
+SETTINGS_RETRY_AFTER_SECONDS: Final = 60
+"""Delay that is stated where only a change of the operators' settings can help."""
 VERIFY_LOG_AGE_SECONDS: Final = 0.9
 """With an older view, the log is read before an append.
 
@@ -121,8 +124,12 @@
             spec=spec,
             accepted_at=time.time(),
         )
-        record = KeyedRecord(key=submission_key(job_id), value=encode_record(submission))
-        answer = await self._store(record, job_id, deadline=deadline)
+        quota = customer.quota if customer else ResourceLimit()
+        if all(fits_quota(step, quota) for step in spec.steps):
+            record = KeyedRecord(key=submission_key(job_id), value=encode_record(submission))
+            answer = await self._store(record, job_id, deadline=deadline)
+        else:
+            answer = await self._refuse_unless_accepted(job_id)
         log(
             "submission_answered",
             job_id=job_id,
@@ -134,6 +141,22 @@
         )
         return answer
 
+    async def _refuse_unless_accepted(self, job_id: str) -> Accepted | Refused:
+        """Refuse a job that can never run, unless it was accepted before.
+
+        Another VM may have accepted it while the quota was higher, and the caller repeats it.
+        """
+        try:
+            await self._view.jobs.catch_up()
+        except LogError:
+            return self.refuse(Refusal.LOG_UNAVAILABLE)
+        if self._view.job_table.get(job_id) is not None:
+            return Accepted()
+        self._counters.add("refusals", reason=Refusal.EXCEEDS_QUOTA)
+        return Refused(
+            reason=Refusal.EXCEEDS_QUOTA, retry_after_seconds=SETTINGS_RETRY_AFTER_SECONDS
+        )
+
     async def state(self, customer: Customer | None, job_id: str) -> StateOf | UnknownJob | Refused:
         """Return the state of a job."""
         found = await self._find(customer, job_id)
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -38,6 +38,7 @@
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
+from zinniaweir.workloads.queues import ResourceLimit
 from zinniaweir.workloads.records import (
     Cancellation,
     JobState,
@@ -730,3 +731,25 @@
         assert max(leases_ms) <= TimeLimits().lease_seconds * 1e3
 
     run(work())
+
+
+def test_gang_that_exceeds_its_customers_quota_is_refused_and_not_stored(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against a gang that is accepted although it can never run."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            customer = replace(PARISH, quota=ResourceLimit(accelerators=8))
+            gang = JobSpec(payload="x", steps=(StepSpec(count=4, accelerators=4, gang=True),))
+            answer = await node.service.submit(customer, TERMS, "j1", gang, deadline=deadline())
+            assert isinstance(answer, Refused)
+            assert answer.reason is Refusal.EXCEEDS_QUOTA
+            tasks = JobSpec(payload="x", steps=(StepSpec(count=4, accelerators=4),))
+            answer = await node.service.submit(customer, TERMS, "j2", tasks, deadline=deadline())
+            assert isinstance(answer, Accepted)
+            await until(lambda: node.view.job_table.get("j2") is not None)
+            assert node.view.job_table.get("j1") is None
+
+    run(work())
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -54,7 +54,9 @@
     "unit_placed": "a task or gang got its workers",
     "unit_preempted": "a task or gang makes way for an urgent job",
     "unit_stopping": "runs of a task or gang are stopped",
-    "unit_waits": "a task or gang found no room",
+    "unit_waits": (
+        "a task or gang found no room, or has to wait for its customer's quota (`reason`)"
+    ),
     "worker_born_again": "another life of a worker answers",
     "worker_entry_changed": "a worker came, drains or was born again",
     "worker_entry_outdated": "a worker's report was stored after a newer one and does not count",
--- a/packages/workloads/src/zinniaweir/workloads/queues.py
+++ b/packages/workloads/src/zinniaweir/workloads/queues.py
@@ -36,14 +36,41 @@
     """Whether the queue's tasks need advice tickets, which are not supported."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class ResourceLimit:
+    """Limit of the resources that are in use at a time; 0 is no limit."""
+
+    cpu_millis: int = 0
+    """Thousandths of a core."""
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    @property
+    def is_set(self) -> bool:
+        """Whether any resource is limited."""
+        return bool(self.cpu_millis or self.memory_mb or self.accelerators)
+
+    def admits(self, *, cpu_millis: int, memory_mb: int, accelerators: int) -> bool:
+        """Return whether resources are within the limit."""
+        return (
+            (not self.cpu_millis or cpu_millis <= self.cpu_millis)
+            and (not self.memory_mb or memory_mb <= self.memory_mb)
+            and (not self.accelerators or accelerators <= self.accelerators)
+        )
+
+
 @dataclass(frozen=True, kw_only=True)
 class Customer:
-    """A customer with its API keys and its guarantee."""
+    """A customer with its API keys, its guarantee and its limits."""
 
     name: str
     api_keys: frozenset[str]
     guaranteed_accelerators: int = 0
     """Accelerators that are guaranteed at all times to the customer's jobs of priority 0."""
+    weight: float | None = None
+    """Share of the workers in relation to other customers when all are busy, None if not stated."""
+    quota: ResourceLimit = field(default_factory=ResourceLimit)
+    """What the customer's tasks may use at a time on all workers together."""
 
 
 @dataclass(frozen=True, kw_only=True)
