dispatch, node: retries wait while workers fail what they start; refusals in a known outage at once

In the log's outage each refused submission first waited for a read that had to fail.

Ruled out: longer Retry-After (the last tries of the refused callers fall within their 3 s), and pausing workers at their first failure (waves of hopeless jobs would take out sound workers).

Change: dispatch/retries.py delays an attempt while starts fail on several workers, the last one by 3 s, and prefers workers on which work ended well; a submission is refused at once if the follower's read failed within 0.6 s; half of the callers of a longer outage are told one second more.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
 )
 from zinniaweir.dispatch.planning import Planner
 from zinniaweir.dispatch.reporting import Reporter
+from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.runs import Runs
 from zinniaweir.dispatch.succession import Succession
@@ -85,10 +86,12 @@
         self._jobs: dict[str, OwnedJob] = {}
         self._fleet = Fleet()
         self._health = WorkerHealth()
+        self._retries = RetryPolicy()
         self._run_times = RunTimes()
         self._runs = Runs(
             fleet=self._fleet,
             health=self._health,
+            retries=self._retries,
             run_times=self._run_times,
             reporter=reporter,
         )
@@ -114,6 +117,7 @@
         self._planner = Planner(
             fleet=self._fleet,
             health=self._health,
+            retries=self._retries,
             run_times=self._run_times,
             time_limits=time_limits,
             apart_from=self._runs.suspects.apart_from,
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -82,7 +82,7 @@
     workers: Iterable[Worker],
     *,
     rack_use: Mapping[str, int],
-    failed_job_count: Callable[[str], int] = lambda _: 0,
+    penalty: Callable[[str], float] = lambda _: 0.0,
     spread_allowed: bool = False,
     empty_only: bool = False,
 ) -> list[Worker] | None:
@@ -94,7 +94,7 @@
         unit: The unit to place.
         workers: Workers that may be used.
         rack_use: Accelerators in use, by rack.
-        failed_job_count: Returns how many jobs failed on a worker; workers with more are used last.
+        penalty: Returns how little a worker is trusted; those with higher values are used last.
         spread_allowed: Whether a rack-local gang may use several racks.
         empty_only: Whether only workers without any task may be used.
 
@@ -105,9 +105,7 @@
         Candidate(
             worker=worker,
             count=count,
-            cost=_cost(
-                unit, worker, failed_job_count(worker.name), rack_use.get(worker.entry.rack, 0)
-            ),
+            cost=_cost(unit, worker, penalty(worker.name), rack_use.get(worker.entry.rack, 0)),
         )
         for worker in workers
         if (count := capacity_for(unit, worker, empty_only=empty_only)) > 0
@@ -129,13 +127,13 @@
     return max((sum(empty_capacity_for(unit, w) for w in rack) for rack in racks), default=0)
 
 
-def _cost(unit: Unit, worker: Worker, failed_job_count: int, rack_used: int) -> tuple[float, ...]:
+def _cost(unit: Unit, worker: Worker, penalty: float, rack_used: int) -> tuple[float, ...]:
     step = unit.step
     off_home_rack = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
     memory_left = worker.entry.memory_mb - worker.used_memory - step.memory_mb
     return (
-        float(failed_job_count),
+        penalty,
         float(off_home_rack),
         float(left),
         -float(rack_used),
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -14,6 +14,7 @@
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
+from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
@@ -42,6 +43,7 @@
     Args:
         fleet: The workers.
         health: Health of the workers.
+        retries: When failed work is tried again.
         run_times: Expected durations.
         time_limits: Durations that limit the age of views.
         apart_from: Returns the workers that a unit should keep away from, since the units there and
@@ -55,6 +57,7 @@
         *,
         fleet: Fleet,
         health: WorkerHealth,
+        retries: RetryPolicy,
         run_times: RunTimes,
         time_limits: TimeLimits,
         apart_from: Callable[[Unit], set[str]],
@@ -64,6 +67,7 @@
         self._fleet = fleet
         self._inherited = inherited
         self._health = health
+        self._retries = retries
         self._run_times = run_times
         self._time_limits = time_limits
         self._apart_from = apart_from
@@ -187,6 +191,7 @@
             context=context,
             planner_state=self,
             health=self._health,
+            retries=self._retries,
             run_times=self._run_times,
             reporter=self._reporter,
         )
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -16,6 +16,7 @@
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.reservations import BACKFILL_MARGIN, Reservation, reserve
+from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.losses import is_seen_to_work
@@ -56,6 +57,11 @@
 
 No job may wait with nothing running for 3 s then.
 """
+MAX_RETRY_WAIT_SECONDS: Final = 2.0
+"""Time after which a failed job with nothing running is tried again on an idle cluster.
+
+No job may wait with nothing running for 3 s while the cluster is idle.
+"""
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
 LARGE_TASK_SHARE: Final = 0.5
@@ -107,6 +113,7 @@
         context: Inputs and callbacks of the pass.
         planner_state: State that outlives the pass.
         health: Health of the workers.
+        retries: When failed work is tried again, and on which workers.
         run_times: Expected durations.
         reporter: Receives log events and counts.
     """
@@ -117,6 +124,7 @@
         context: PassContext,
         planner_state: PlannerState,
         health: WorkerHealth,
+        retries: RetryPolicy,
         run_times: RunTimes,
         reporter: Reporter,
     ) -> None:
@@ -127,6 +135,7 @@
         """When the quota of a customer has room for its first unit that waits for that."""
         self._planner_state = planner_state
         self._health = health
+        self._retries = retries
         self._run_times = run_times
         self._reporter = reporter
         self._usable = context.usable
@@ -153,7 +162,9 @@
             rank: The rank of its job.
             covered: Whether its job is covered by its customer's guarantee.
         """
-        if self._waits_for_sibling(unit) or self._waits_for_quota(unit, rank, covered=covered):
+        if self._waits_for_retry(unit) or self._waits_for_sibling(unit):
+            return
+        if self._waits_for_quota(unit, rank, covered=covered):
             return
         # Reserved workers are open to some units and closed to others with the same demand.
         placement_key = (*_placement_key(unit), unit.job.job_id if self._reservations else "")
@@ -165,7 +176,7 @@
             unit,
             self._open_to(unit, self._with_capacity_for(unit), excluded),
             rack_use=self._rack_use,
-            failed_job_count=self._health.failed_job_count,
+            penalty=self._retries.penalty_for(unit, self._health.failed_job_count, now=self._now),
             spread_allowed=spread_allowed,
             empty_only=self._needs_empty_workers(unit),
         )
@@ -290,6 +301,25 @@
         kept = (r.workers for r in self._reservations if end > r.ready_at)
         return set().union(*kept)
 
+    def _waits_for_retry(self, unit: Unit) -> bool:
+        """Return whether a failed unit is not tried again yet, since workers fail what they start.
+
+        A job that has waited with nothing running for long on an idle cluster is tried at once.
+        """
+        if self._now >= self._retries.retry_at(unit, self._now):
+            return False
+        if unit.retry_logged_for != unit.failures:
+            unit.retry_logged_for = unit.failures
+            self._reporter.count("waits", "retry")
+            self._reporter.log(
+                "retry_delayed",
+                job_id=unit.job.job_id,
+                step=unit.step_number,
+                failures=unit.failures,
+                seconds=round(self._retries.retry_at(unit, self._now) - self._now, 3),
+            )
+        return not (self._idle and self._has_waited_without_running(unit, MAX_RETRY_WAIT_SECONDS))
+
     def _waits_for_sibling(self, unit: Unit) -> bool:
         """Return whether a unit waits until another of its job shows that they crash no worker.
 
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -12,6 +12,7 @@
 from zinniaweir.dispatch.messages import RunEnd
 from zinniaweir.dispatch.ordering import objective_seconds
 from zinniaweir.dispatch.reporting import Reporter
+from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 
@@ -25,17 +26,25 @@
     Args:
         fleet: The workers.
         health: Health of the workers.
+        retries: Receives failures and successes.
         run_times: Expected durations.
         reporter: Receives log events, counts and durations.
     """
 
     def __init__(
-        self, *, fleet: Fleet, health: WorkerHealth, run_times: RunTimes, reporter: Reporter
+        self,
+        *,
+        fleet: Fleet,
+        health: WorkerHealth,
+        retries: RetryPolicy,
+        run_times: RunTimes,
+        reporter: Reporter,
     ) -> None:
         self.suspects = CrashSuspects(on_changed=self._on_losses_changed, reporter=reporter)
         """Units that were lost with their workers."""
         self._fleet = fleet
         self._health = health
+        self._retries = retries
         self._run_times = run_times
         self._reporter = reporter
         self._log = reporter.log
@@ -202,6 +211,9 @@
     def _complete_unit(self, assignment: Assignment, now: float) -> None:
         unit, job = assignment.unit, assignment.unit.job
         self._health.record_success(assignment.worker)
+        for member in unit.assignments.values():
+            self._retries.record_success(member.worker, now=now)
+        self._retries.record_success(assignment.worker, now=now)
         if assignment.started_at is not None and not assignment.inherited and not unit.checkpoint:
             self._run_times.add(job.terms.name, now - assignment.started_at)
         self._finish_unit(unit, now)
@@ -234,6 +246,10 @@
             unit.failed_run = unit.run
             unit.failures += 1
             unit.failed_workers.add(assignment.worker)
+            began = assignment.started_at
+            self._retries.record_failure(
+                unit, assignment.worker, seconds=None if began is None else now - began, now=now
+            )
             if self._health.record_failure(assignment.worker, job.job_id, now=now):
                 self._log("worker_paused", worker=assignment.worker, reason="fails_what_it_starts")
             if unit.failures >= job.terms.max_attempts and not job.closed:
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -146,6 +146,10 @@
     """Newest checkpoint that a worker reported."""
     run_checkpoint: str = ""
     """Checkpoint that the newest run starts from, the same for all members of a gang."""
+    failed_at: float | None = None
+    """When this owner last learned of a failed run, in seconds."""
+    retry_logged_for: int = 0
+    """Number of failures with which a delay of its next attempt was last logged."""
     failed_workers: set[str] = field(default_factory=set)
     """Workers on which it failed."""
     losses: tuple[LossRecord, ...] = ()
--- a/packages/node/src/zinniaweir/node/follower.py
+++ b/packages/node/src/zinniaweir/node/follower.py
@@ -70,6 +70,7 @@
         self._counters = counters
         self._next_offset: int | None = None
         self._fresh_at = float("-inf")
+        self._failed_at = float("-inf")
         self._complete = False
         self._dependency_lost = False
         self._loaded = asyncio.Event()
@@ -88,6 +89,11 @@
         """Seconds since the last read that reached the end of the stream was sent."""
         return boottime() - self._fresh_at
 
+    @property
+    def failed_at(self) -> float:
+        """When the newest read failed, in seconds of `boottime`; -infinity if it did not."""
+        return self._failed_at
+
     @property
     def next_offset(self) -> int | None:
         """Offset of the next record to read, None before the first load."""
@@ -217,6 +223,7 @@
 
     def _on_read(self, sent_at: float) -> None:
         self._timeout.record_answer(max(boottime() - sent_at - self.wait_seconds, 0.0))
+        self._failed_at = float("-inf")
         if not self._complete:
             return
         since = self._fresh_at
@@ -227,6 +234,7 @@
         self.on_fresh(since, self._fresh_at)
 
     def _on_failure(self, error: LogError) -> None:
+        self._failed_at = boottime()
         self._counters.add("log_read_failures", reason=type(error).__name__)
         if not self._dependency_lost and self.age > LOST_AFTER_SECONDS:
             self._dependency_lost = True
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from typing import Final
 
@@ -60,6 +61,11 @@
 
 A failed read has no effect, so the job can be refused with a known outcome.
 """
+RECENT_FAILURE_SECONDS: Final = 0.6
+"""If the follower's read failed this recently, a further read would only delay the refusal.
+
+The follower reads again within a tenth of a second after each failure.
+"""
 
 
 class JobService:
@@ -188,7 +194,8 @@
     def refuse(self, reason: Refusal) -> Refused:
         """Return a refusal with the delay after which the caller may retry."""
         self._counters.add("refusals", reason=reason)
-        return Refused(reason=reason, retry_after_seconds=retry_after_seconds(self._view.age))
+        delay = retry_after_seconds(self._view.age, spread=random.random())
+        return Refused(reason=reason, retry_after_seconds=delay)
 
     @property
     def _settings_version(self) -> int:
@@ -228,6 +235,8 @@
         Appending a record twice is harmless, because only the first one takes effect.
         """
         if self._view.jobs.age > VERIFY_LOG_AGE_SECONDS:
+            if boottime() - self._view.jobs.failed_at < RECENT_FAILURE_SECONDS:
+                return self.refuse(Refusal.LOG_UNAVAILABLE)
             try:
                 await self._view.jobs.catch_up()
             except LogError:
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -35,6 +35,7 @@
 from zinniaweir.node.owner import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
 from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream, WorkerClient
 from zinniaweir.node.recorder import Recorder
+from zinniaweir.node.service import VERIFY_LOG_AGE_SECONDS
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.timers import Timers
@@ -753,3 +754,29 @@
             assert node.view.job_table.get("j1") is None
 
     run(work())
+
+
+def test_submission_in_a_known_outage_is_refused_without_a_further_read(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against callers that wait for a read although the last one has just failed."""
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            memory_log.down = True
+            await until(lambda: node.view.jobs.age > VERIFY_LOG_AGE_SECONDS)
+            await until(lambda: node.view.jobs.failed_at > 0)
+            reads = 0
+
+            async def count_read() -> None:
+                nonlocal reads
+                reads += 1
+
+            node.view.jobs.catch_up = count_read  # type: ignore[method-assign]
+            answer = await node.service.submit(PARISH, TERMS, "j1", SPEC, deadline=deadline())
+            assert isinstance(answer, Refused)
+            assert answer.reason is Refusal.LOG_UNAVAILABLE
+            assert reads == 0
+
+    run(work())
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -36,6 +36,7 @@
     "release_failed": "a planned stop could not release the ownership",
     "reload_refused": "a changed settings file could not be read",
     "reloaded": "a changed settings file was read",
+    "retry_delayed": "a failed task or gang waits, since workers fail what they start",
     "rows_ignored": "rows of a worker's list, or parts of them, could not be read; the others hold",
     "start_after_notice": "a run may have begun after its worker said that it drains",
     "start_unanswered": "a start brought no answer and is sent again",
