--- a/packages/dispatch/src/zinniaweir/dispatch/retries.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/retries.py
@@ -16,7 +16,7 @@
 A single bad worker is paused and avoided. A job that fails by its own fault right after its
 start is delayed too, by a few seconds in all.
 """
-QUICK_FAILURE_SECONDS: Final = 1.0
+QUICK_FAILURE_SECONDS: Final = 0.3
 """A run that fails sooner costs its worker next to nothing, so all attempts can be used up at once.
 """
 INITIAL_DELAY_SECONDS: Final = 0.4
