--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -9,6 +9,7 @@
 
 from zinniaweir.dispatch.fleet import MAX_SILENCE_SECONDS, Fleet, Worker
 from zinniaweir.dispatch.guarantees import covered_jobs
+from zinniaweir.dispatch.headroom import Headroom
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.ordering import Rank, rank
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
@@ -76,6 +77,7 @@
         self._jobs_read_at = float("-inf")
         self._claims: dict[str, _WorkerClaim] = {}
         self._set_aside: set[str] = set()
+        self._headroom = Headroom()
 
     def configure(self, configuration: Configuration, evacuated: frozenset[str]) -> None:
         """Apply the operators' settings.
@@ -173,6 +175,11 @@
             for customer in quotas.customers
             if quotas.share_in_use(customer) < IDLE_QUOTA_SHARE
         }
+
+        def place_and_count(unit: Unit, workers: list[Worker]) -> None:
+            self._headroom.record_placement(unit, workers, now=now)
+            place(unit, workers)
+
         context = PassContext(
             now=now,
             view_age=now - self._view_at,
@@ -180,7 +187,8 @@
             usable_soon=[w for w in self._fleet if self.usable_soon(w)],
             apart_from=self._apart_from,
             quotas=quotas,
-            place=place,
+            headroom=self._headroom,
+            place=place_and_count,
             stop=stop,
         )
         planning_pass = PlanningPass(
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -9,10 +9,17 @@
 
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.guarantees import GUARANTEED_PRIORITY
+from zinniaweir.dispatch.headroom import Headroom, KeptWorkers
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.ordering import Rank
 from zinniaweir.dispatch.placement import allowed_on, choose_workers, max_rack_capacity
-from zinniaweir.dispatch.preemption import choose_eviction, lost_core_seconds_of, unit_cores
+from zinniaweir.dispatch.preemption import (
+    PREEMPTION_INTERVAL_SECONDS,
+    EvictionSearch,
+    search_due,
+    unsaved_core_seconds_of,
+    worth_losing,
+)
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.reservations import BACKFILL_MARGIN, Reservation, reserve
@@ -27,18 +34,6 @@
 """Number of reservations that are allowed whatever share of the workers they hold."""
 MAX_RESERVED_SHARE: Final = 0.3
 """Maximum share of the workers that more than `UNCAPPED_RESERVATIONS` reservations hold."""
-PREEMPTION_INTERVAL_SECONDS: Final = 1.2
-"""Minimum interval between preemptions for one unit; a stop takes up to 0.9 s."""
-PREEMPTION_SEARCH_INTERVAL_SECONDS: Final = 0.15
-"""Minimum interval between searches for work to preempt for one unit.
-
-A search examines all running work.
-"""
-MAX_PREEMPTION_LOSS_RATIO: Final = 2.0
-"""Maximum work lost by a preemption, as a multiple of the preempting unit's own core-seconds.
-
-Applies to urgent work beyond a guarantee. Other work has seconds to spare, urgent work has none.
-"""
 MAX_RESERVATION_WAIT_SECONDS: Final = 1.5
 """Time after which a job with nothing running may use reserved workers of an idle cluster."""
 MAX_RACK_WAIT_SECONDS: Final = 2.0
@@ -58,6 +53,8 @@
 """
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
+MUST_START_SOON_BAND: Final = 1
+"""Band of work that is late unless it starts soon; it may use what is kept for urgent work."""
 LARGE_TASK_SHARE: Final = 0.5
 """A single task that needs more than this share of a worker gets a reservation."""
 
@@ -88,6 +85,8 @@
     """Returns the workers that a unit should keep away from."""
     quotas: Quotas
     """Quotas of customers, with what they have in use."""
+    headroom: Headroom
+    """Capacity that is kept free for urgent work."""
     view_age: float
     """Seconds since settings and the list of workers were read."""
     usable: Sequence[Worker]
@@ -130,6 +129,10 @@
         self._run_times = run_times
         self._reporter = reporter
         self._usable = context.usable
+        self._evictions = EvictionSearch(now=context.now)
+        self._kept_workers = KeptWorkers(
+            headroom=context.headroom, workers=context.usable, now=context.now
+        )
         total = sum(w.entry.accelerators for w in self._usable)
         used = sum(w.used_accelerators for w in self._usable)
         self._idle = used < IDLE_CLUSTER_SHARE * total
@@ -155,12 +158,20 @@
         """
         if self._waits_for_sibling(unit) or self._waits_for_quota(unit, rank, covered=covered):
             return
+        kept = self._kept_from(unit, rank)
+        if kept and self._now < unit.preemptions.restart_at:
+            self._report_wait(unit, rank, set(), covered=covered, reason="headroom")
+            return
         # Reserved workers are open to some units and closed to others with the same demand.
-        placement_key = (*_placement_key(unit), unit.job.job_id if self._reservations else "")
+        placement_key = (
+            *_placement_key(unit),
+            unit.job.job_id if self._reservations else "",
+            bool(kept),
+        )
         if placement_key in self._unplaceable:
             return
         spread_allowed = self._spread_allowed(unit)
-        excluded = self._excluded_for(unit)
+        excluded = self._excluded_for(unit) | kept
         chosen = choose_workers(
             unit,
             self._open_to(unit, self._with_capacity_for(unit), excluded),
@@ -176,11 +187,26 @@
                 self._rack_use[worker.entry.rack] += unit.demand.accelerators
             return
         self._unplaceable.add(placement_key)
-        self._report_wait(unit, rank, excluded, covered=covered)
+        reason = ""
+        if kept and self._kept_workers.withhold(self._with_capacity_for(unit)):
+            reason = "headroom"
+            if unit.withheld_run != unit.run:
+                # A wait that began for another reason is logged again.
+                unit.withheld_run, unit.wait_logged = unit.run, False
+        self._report_wait(unit, rank, excluded, covered=covered, reason=reason)
         if unit.job.terms.priority == GUARANTEED_PRIORITY and not unit.isolated:
             self._preempt_for(unit, rank, excluded, spread_allowed=spread_allowed, covered=covered)
         self._reserve_capacity(unit, rank, spread_allowed)
 
+    def _kept_from(self, unit: Unit, rank: Rank) -> frozenset[str]:
+        """Return the workers that are kept for urgent work and closed to a unit."""
+        must_start_soon = rank.band == MUST_START_SOON_BAND
+        if must_start_soon and not unit.preemptions.is_recent(self._now):
+            return frozenset()
+        if self._idle and self._has_waited_without_running(unit, MAX_RESERVATION_WAIT_SECONDS):
+            return frozenset()
+        return self._kept_workers.closed_to(unit)
+
     def _waits_for_quota(self, unit: Unit, rank: Rank, *, covered: bool) -> bool:
         """Return whether a unit waits because of its customer's quota, and free some if urgent.
 
@@ -214,19 +240,24 @@
 
     def _ends_before(self, unit: Unit, time: float) -> bool:
         """Return whether a unit that is started now is expected to end before a time."""
-        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
-        return self._now + BACKFILL_MARGIN * expected <= time
+        return self._now + BACKFILL_MARGIN * self._expected(unit) <= time
+
+    def _expected(self, unit: Unit) -> float:
+        """Return the expected duration of a unit's tasks in seconds."""
+        return self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
 
     def _stop_own_work_for(self, unit: Unit, rank: Rank, *, covered: bool) -> None:
         """Preempt less urgent work of the same customer, which takes the room in its quota."""
-        if not covered and rank.lateness > 0 or not self._preemption_due(unit):
+        if not covered and rank.lateness > 0 or not search_due(unit, now=self._now):
             return
         victims = self._quota_use.units_to_stop_for(unit, now=self._now)
-        lost_core_seconds = sum(lost_core_seconds_of(victim, now=self._now) for victim in victims)
-        if not victims or not (covered or self._worth_losing(unit, lost_core_seconds)):
+        lost = sum(unsaved_core_seconds_of(victim, now=self._now) for victim in victims)
+        if not victims or not (covered or worth_losing(unit, lost, self._expected(unit))):
+            return
+        if not covered and any(victim.preemptions.protected for victim in victims):
             return
         unit.preempted_for_at = self._now
-        self._preempt(victims, unit, "quota", lost_core_seconds)
+        self._preempt(victims, unit, "quota")
 
     def _report_wait(
         self, unit: Unit, rank: Rank, excluded: set[str], *, covered: bool, reason: str = ""
@@ -360,46 +391,32 @@
         self, unit: Unit, rank: Rank, excluded: set[str], *, spread_allowed: bool, covered: bool
     ) -> None:
         now = self._now
-        if not covered and rank.lateness > 0 or not self._preemption_due(unit):
+        if not covered and rank.lateness > 0 or not search_due(unit, now=self._now):
             return
         workers = self._open_to(unit, self._allowed_for(unit), excluded)
-        eviction = choose_eviction(unit, workers, now=now, spread_allowed=spread_allowed)
+        eviction = self._evictions.choose(
+            unit, workers, spread_allowed=spread_allowed, guaranteed=covered
+        )
         if eviction is None:
             return
-        if not (covered or self._worth_losing(unit, eviction.lost_core_seconds)):
+        if not (covered or worth_losing(unit, eviction.lost_core_seconds, self._expected(unit))):
             return
         unit.preempted_for_at = now
         self._planner_state.claim_workers(
             unit, eviction.workers, until=now + 2 * PREEMPTION_INTERVAL_SECONDS
         )
         reason = "guarantee" if covered else "urgent"
-        self._preempt(eviction.units, unit, reason, eviction.lost_core_seconds)
-
-    def _preemption_due(self, unit: Unit) -> bool:
-        """Return whether work to preempt for a unit may be searched for again, and note it."""
-        now = self._now
-        if (
-            unit.preempted_for_at is not None
-            and now - unit.preempted_for_at < PREEMPTION_INTERVAL_SECONDS
-        ):
-            return False
-        if (
-            unit.preemption_searched_at is not None
-            and now - unit.preemption_searched_at < PREEMPTION_SEARCH_INTERVAL_SECONDS
-        ):
-            return False
-        unit.preemption_searched_at = now
-        return True
+        if eviction.units:
+            self._context.headroom.record_preemption(now)
+        self._preempt(eviction.units, unit, reason)
 
-    def _worth_losing(self, unit: Unit, lost_core_seconds: float) -> bool:
-        """Return whether urgent work beyond a guarantee may cost as much work of others."""
-        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
-        return lost_core_seconds <= MAX_PREEMPTION_LOSS_RATIO * unit_cores(unit) * expected
-
-    def _preempt(
-        self, victims: Iterable[Unit], unit: Unit, reason: str, lost_core_seconds: float
-    ) -> None:
+    def _preempt(self, victims: Sequence[Unit], unit: Unit, reason: str) -> None:
+        self._evictions.forget(victims)
         for victim in victims:
+            lost = unsaved_core_seconds_of(victim, now=self._now)
+            if any(not assignment.stop_reason for assignment in victim.assignments.values()):
+                victim.preemptions.record(self._now)
+                victim.job.preemptions.record(self._now)
             self._reporter.count("preemptions", reason)
             self._reporter.log(
                 "unit_preempted",
@@ -408,7 +425,8 @@
                 run=victim.run,
                 for_job=unit.job.job_id,
                 reason=reason,
-                lost_core_seconds=round(lost_core_seconds, 1),
+                lost_core_seconds=round(lost, 1),
+                times=victim.preemptions.count,
             )
             self._context.stop(victim, "preempted")
 
--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+import heapq
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from zinniaweir.dispatch.fleet import Worker, fit_count
 from zinniaweir.dispatch.placement import allowed_on, count_step_tasks, group_by_rack
-from zinniaweir.dispatch.units import Assignment, Unit
+from zinniaweir.dispatch.preemption_history import BATCH_PRIORITY
+from zinniaweir.dispatch.units import Demand, Unit
 
 ACCELERATOR_CORES: Final = 8
 """Cores that one accelerator counts as where lost work is computed in core-seconds."""
@@ -17,6 +19,28 @@
 
 It makes large gangs expensive to preempt.
 """
+RESTORE_COST_SECONDS: Final = 0.6
+"""Time that a checkpointing task takes to restore the checkpoint that its stop writes."""
+UNIT_STOP_COST: Final = 8.0
+"""Cost of each stopped unit in core-seconds, so that one stop is preferred to ten small ones."""
+REPEAT_COST_SECONDS: Final = 1.0
+"""Cost of each earlier preemption of a unit, in seconds of its tasks."""
+SIBLING_COST_SECONDS: Final = 0.0
+"""Cost of a recent preemption in the same job, in seconds of the unit's tasks."""
+PREEMPTION_INTERVAL_SECONDS: Final = 1.2
+"""Minimum interval between preemptions for one unit; a stop takes up to 0.9 s."""
+PREEMPTION_SEARCH_INTERVAL_SECONDS: Final = 0.15
+"""Minimum interval between searches for work to preempt for one unit.
+
+A search examines all running work.
+"""
+MAX_PREEMPTION_LOSS_RATIO: Final = 2.0
+"""Maximum work lost by a preemption, as a multiple of the preempting unit's own core-seconds.
+
+Applies to urgent work beyond a guarantee. Other work has seconds to spare, urgent work has none.
+"""
+GANG_COST_FACTOR: Final = 2.0
+"""Factor on the cost of stopping work of a priority before batch work."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -27,6 +51,8 @@
     workers: tuple[str, ...]
     lost_core_seconds: float
     """Lost work in core-seconds."""
+    cost: float
+    """Cost by which it was chosen: the lost work, with repeated preemptions counted as more."""
 
 
 def unit_cores(unit: Unit) -> float:
@@ -35,124 +61,311 @@
     return len(unit.indexes) * (step.cpu_millis / 1e3 + ACCELERATOR_CORES * step.accelerators)
 
 
-def lost_core_seconds_of(unit: Unit, *, now: float) -> float:
-    """Return the core-seconds that are lost when a unit is stopped.
+def search_due(unit: Unit, *, now: float) -> bool:
+    """Return whether work to preempt for a unit may be searched for again, and note it.
 
-    A checkpointing task writes a checkpoint when it is stopped, so its work is not lost.
+    Args:
+        unit: The waiting unit.
+        now: Current time in seconds.
     """
-    assignments = [
-        assignment for assignment in unit.assignments.values() if not assignment.stop_reason
-    ]
-    each = unit_cores(unit) / len(unit.indexes)
-    total = 0.0
-    for assignment in assignments:
-        unsaved = assignment.started_at is not None and not unit.step.checkpointing
-        worked = now - assignment.started_at if unsaved else 0.0
-        total += each * (worked + RESTART_COST_SECONDS)
-    return total
+    if (
+        unit.preempted_for_at is not None
+        and now - unit.preempted_for_at < PREEMPTION_INTERVAL_SECONDS
+    ):
+        return False
+    if (
+        unit.preemption_searched_at is not None
+        and now - unit.preemption_searched_at < PREEMPTION_SEARCH_INTERVAL_SECONDS
+    ):
+        return False
+    unit.preemption_searched_at = now
+    return True
 
 
-def choose_eviction(
-    unit: Unit, workers: Sequence[Worker], *, now: float, spread_allowed: bool
-) -> Eviction | None:
-    """Choose the units to preempt so that a unit can be placed with the least lost work.
+def worth_losing(unit: Unit, lost_core_seconds: float, expected_seconds: float) -> bool:
+    """Return whether urgent work beyond a guarantee may cost as much work of others.
 
     Args:
-        unit: The unit to place.
-        workers: Workers that may be used.
-        now: Current time in seconds.
-        spread_allowed: Whether a rack-local gang may use several racks.
+        unit: The unit that needs capacity.
+        lost_core_seconds: Work that is lost.
+        expected_seconds: Expected duration of the unit's tasks.
+    """
+    return lost_core_seconds <= MAX_PREEMPTION_LOSS_RATIO * unit_cores(unit) * expected_seconds
 
-    Returns:
-        The units to preempt, or None if preempting less urgent work frees too little capacity.
+
+def unsaved_core_seconds_of(unit: Unit, *, now: float) -> float:
+    """Return the core-seconds that are really lost when a unit is stopped.
+
+    A checkpointing task writes a checkpoint when it is stopped, so it loses the time to restore it
+    and none of its work.
     """
-    usable = [w for w in workers if allowed_on(unit, w)]
-    one_rack = unit.step.rack_local and len(unit.indexes) > 1 and not spread_allowed
-    groups = group_by_rack(usable, one_rack=one_rack)
-    found = [e for group in groups if (e := _evict_within(unit, group, now)) is not None]
-    return min(found, key=lambda e: e.lost_core_seconds, default=None)
+    step = unit.step
+    each = unit_cores(unit) / len(unit.indexes)
+    total = 0.0
+    for assignment in unit.assignments.values():
+        if assignment.stop_reason:
+            continue
+        lost = RESTART_COST_SECONDS
+        if assignment.started_at is not None:
+            lost += RESTORE_COST_SECONDS if step.checkpointing else now - assignment.started_at
+        total += each * lost
+    return total
 
 
-def _evict_within(unit: Unit, workers: Sequence[Worker], now: float) -> Eviction | None:
-    """Choose workers greedily, each time the one with the least lost work per task.
+def lost_core_seconds_of(unit: Unit, *, now: float) -> float:
+    """Return the core-seconds that stopping a unit costs, by which victims are chosen.
 
-    A gang that is preempted on one worker frees its other workers at no further cost.
+    It is the lost work, and more for a unit that was preempted before, for one of a job of which
+    another unit was just preempted, and for work that goes before batch work.
     """
-    needed = len(unit.indexes)
-    evicted: dict[Unit, None] = {}
-    chosen: list[str] = []
-    left = list(workers)
-    lost_core_seconds = 0.0
-    while needed > 0:
-        options = [o for w in left if (o := _option(unit, w, needed, evicted, now)) is not None]
-        if not options:
-            return None
-        best = min(options, key=lambda o: (o.lost_core_seconds / o.count, -o.count, o.worker.name))
-        evicted |= dict.fromkeys(best.units)
-        lost_core_seconds += best.lost_core_seconds
-        needed -= best.count
-        chosen.append(best.worker.name)
-        left.remove(best.worker)
-    return Eviction(
-        units=tuple(evicted), workers=tuple(chosen), lost_core_seconds=lost_core_seconds
-    )
+    running = sum(not assignment.stop_reason for assignment in unit.assignments.values())
+    if not running:
+        return 0.0
+    repeats = REPEAT_COST_SECONDS * unit.preemptions.count
+    if unit.job.preemptions.is_recent(now):
+        repeats += SIBLING_COST_SECONDS
+    cores = unit_cores(unit) * running / len(unit.indexes)
+    cost = unsaved_core_seconds_of(unit, now=now) + repeats * cores
+    if unit.job.terms.priority < BATCH_PRIORITY:
+        cost *= GANG_COST_FACTOR
+    return cost + UNIT_STOP_COST
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class _Option:
-    worker: Worker
+    """Units to stop on one worker so that some tasks fit there."""
+
     count: int
     units: tuple[Unit, ...]
-    lost_core_seconds: float
+    cost: float
 
 
-def _option(
-    unit: Unit, worker: Worker, needed: int, evicted: Collection[Unit], now: float
-) -> _Option | None:
-    """Return the option with the least lost work per task to fit some tasks on a worker."""
-    step, entry = unit.step, worker.entry
-    max_count = needed
-    if step.max_per_worker:
-        max_count = min(max_count, step.max_per_worker - count_step_tasks(unit, worker))
-    cpu = entry.cpu_millis - worker.used_cpu
-    memory = entry.memory_mb - worker.used_memory
-    accelerators = entry.accelerators - worker.used_accelerators
-    preemptible = [a for a in worker.assignments.values() if _may_stop(a, unit, evicted)]
-    preemptible.sort(key=lambda a: _stop_cost(a, evicted, now))
-    new_units: dict[Unit, None] = {}
-    best: _Option | None = None
-    for assignment in [None, *preemptible]:
-        if assignment is not None:
-            if assignment.unit not in evicted:
-                new_units[assignment.unit] = None
-            cpu += assignment.unit.step.cpu_millis
-            memory += assignment.unit.step.memory_mb
-            accelerators += assignment.unit.step.accelerators
-        fits = fit_count(unit.demand, cpu=cpu, memory=memory, accelerators=accelerators)
-        count = min(max_count, fits)
-        if count <= 0:
-            continue
-        lost_core_seconds = sum(lost_core_seconds_of(u, now=now) for u in new_units)
-        option = _Option(
-            worker=worker,
-            count=count,
-            units=tuple(new_units),
-            lost_core_seconds=lost_core_seconds,
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Purpose:
+    """What work is preempted for; options of a worker are the same for equal ones."""
+
+    demand: Demand
+    priority: int
+    """Only work of higher priority numbers is stopped."""
+    guaranteed: bool
+    """Whether protected units may be stopped, for a guarantee."""
+
+
+class EvictionSearch:
+    """Search for units to preempt during one planning pass.
+
+    Costs of units and options of workers are computed once for all units of the pass that need the
+    same, as the search examines all running work.
+
+    Args:
+        now: Current time in seconds.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._now = now
+        self._costs: dict[Unit, float] = {}
+        self._options: dict[_Purpose, dict[str, tuple[int, tuple[_Option, ...]]]] = {}
+        """Options by worker, with the number of its assignments when they were computed."""
+
+    def forget(self, units: Iterable[Unit]) -> None:
+        """Discard what is known of units that are stopped, and of their workers."""
+        for unit in units:
+            self._costs.pop(unit, None)
+            for assignment in unit.assignments.values():
+                for by_worker in self._options.values():
+                    by_worker.pop(assignment.worker, None)
+
+    def choose(
+        self, unit: Unit, workers: Sequence[Worker], *, spread_allowed: bool, guaranteed: bool
+    ) -> Eviction | None:
+        """Choose the units to preempt so that a unit can be placed at the least cost.
+
+        A single task stops a gang of another priority only if stopping batch work does not help.
+
+        Args:
+            unit: The unit to place.
+            workers: Workers that may be used.
+            spread_allowed: Whether a rack-local gang may use several racks.
+            guaranteed: Whether the unit is covered by a guarantee.
+
+        Returns:
+            The units to preempt, or None if preempting less urgent work frees too little capacity.
+        """
+        usable = [w for w in workers if allowed_on(unit, w)]
+        one_rack = unit.step.rack_local and len(unit.indexes) > 1 and not spread_allowed
+        groups = group_by_rack(usable, one_rack=one_rack)
+        priorities = [unit.job.terms.priority]
+        if len(unit.indexes) == 1 and priorities[0] < BATCH_PRIORITY - 1:
+            priorities.insert(0, BATCH_PRIORITY - 1)
+        for priority in priorities:
+            purpose = _Purpose(demand=unit.demand, priority=priority, guaranteed=guaranteed)
+            found = [e for group in groups if (e := self._evict_within(unit, group, purpose))]
+            if found:
+                return min(found, key=lambda e: e.cost)
+        return None
+
+    def _evict_within(
+        self, unit: Unit, workers: Sequence[Worker], purpose: _Purpose
+    ) -> Eviction | None:
+        """Choose workers greedily, each time the one with the least cost per task.
+
+        A gang that is preempted on one worker frees its other workers at no further cost.
+        """
+        needed = len(unit.indexes)
+        options = {w.name: (w, self._options_on(unit, w, purpose)) for w in workers}
+        if sum(found[-1].count for _, found in options.values() if found) < needed:
+            return None
+        evicted: dict[Unit, None] = {}
+        chosen: list[str] = []
+        cost = 0.0
+        heap = [entry for name in options for entry in _entries(name, options[name][1], needed)]
+        heapq.heapify(heap)
+        while needed > 0 and heap:
+            ratio, _, name, index = heapq.heappop(heap)
+            if name not in options:
+                continue
+            found = options[name][1]
+            if index >= len(found):
+                continue
+            option = found[index]
+            count = min(option.count, needed)
+            if option.cost / count != ratio:
+                # Fewer tasks are left, or the options changed, since the entry was made.
+                heapq.heappush(heap, (option.cost / count, -count, name, index))
+                continue
+            del options[name]
+            chosen.append(name)
+            needed -= count
+            cost += option.cost
+            new = [u for u in option.units if u not in evicted]
+            evicted |= dict.fromkeys(new)
+            for other in {a.worker for u in new for a in u.assignments.values()} & options.keys():
+                worker = options[other][0]
+                found = self._find_options(worker, purpose, evicted)
+                options[other] = (worker, _limited(unit, worker, found))
+                for entry in _entries(other, options[other][1], max(needed, 1)):
+                    heapq.heappush(heap, entry)
+        if needed > 0:
+            return None
+        return Eviction(
+            units=tuple(evicted),
+            workers=tuple(chosen),
+            lost_core_seconds=sum(unsaved_core_seconds_of(u, now=self._now) for u in evicted),
+            cost=cost,
         )
-        if best is None or lost_core_seconds / count < best.lost_core_seconds / best.count:
-            best = option
-        if count == max_count:
-            break
-    return best
 
+    def _options_on(self, unit: Unit, worker: Worker, purpose: _Purpose) -> tuple[_Option, ...]:
+        by_worker = self._options.setdefault(purpose, {})
+        known = by_worker.get(worker.name)
+        if known is None or known[0] != len(worker.assignments):
+            found = self._find_options(worker, purpose, ())
+            known = by_worker[worker.name] = (len(worker.assignments), found)
+        return _limited(unit, worker, known[1])
 
-def _may_stop(assignment: Assignment, unit: Unit, evicted: Collection[Unit]) -> bool:
-    if assignment.stop_reason or assignment.unit in evicted:
-        return True
-    return assignment.unit.job.terms.priority > unit.job.terms.priority
+    def _cost_of(self, unit: Unit) -> float:
+        cost = self._costs.get(unit)
+        if cost is None:
+            cost = self._costs[unit] = lost_core_seconds_of(unit, now=self._now)
+        return cost
 
+    def _find_options(
+        self, worker: Worker, purpose: _Purpose, evicted: Collection[Unit]
+    ) -> tuple[_Option, ...]:
+        """Return what can be stopped on a worker, in the order of the tasks that then fit."""
+        free = _Free(worker)
+        victims: dict[Unit, int] = {}
+        """Number of tasks on the worker, by unit."""
+        for assignment in worker.assignments.values():
+            victim = assignment.unit
+            if assignment.stop_reason or victim in evicted:
+                free.add(victim.demand)
+            elif victim.job.terms.priority > purpose.priority and (
+                purpose.guaranteed or not victim.preemptions.protected
+            ):
+                victims[victim] = victims.get(victim, 0) + 1
+        count = free.fits(purpose.demand)
+        found = [_Option(count=count, units=(), cost=0.0)] if count else []
+        order = sorted(victims, key=lambda v: self._cost_of(v) / (victims[v] * _weight(v.demand)))
+        chosen: list[Unit] = []
+        for victim in order:
+            chosen.append(victim)
+            free.add(victim.demand, victims[victim])
+            fits = free.fits(purpose.demand)
+            if fits <= count:
+                continue
+            count = fits
+            needed = _without_surplus(chosen, victims, free, purpose.demand, count, self._cost_of)
+            cost = sum(self._cost_of(u) for u in needed)
+            found.append(_Option(count=count, units=tuple(needed), cost=cost))
+        return tuple(found)
 
-def _stop_cost(assignment: Assignment, evicted: Collection[Unit], now: float) -> float:
-    if assignment.stop_reason or assignment.unit in evicted:
-        return 0.0
-    return lost_core_seconds_of(assignment.unit, now=now)
+
+class _Free:
+    """Resources of a worker that are free once some units are stopped."""
+
+    def __init__(self, worker: Worker) -> None:
+        entry = worker.entry
+        self._cpu = entry.cpu_millis - worker.used_cpu
+        self._memory = entry.memory_mb - worker.used_memory
+        self._accelerators = entry.accelerators - worker.used_accelerators
+
+    def add(self, demand: Demand, tasks: int = 1) -> None:
+        self._cpu += tasks * demand.cpu_millis
+        self._memory += tasks * demand.memory_mb
+        self._accelerators += tasks * demand.accelerators
+
+    def fits(self, demand: Demand) -> int:
+        return fit_count(
+            demand, cpu=self._cpu, memory=self._memory, accelerators=self._accelerators
+        )
+
+
+def _weight(demand: Demand) -> float:
+    return max(demand.cpu_millis / 1e3 + ACCELERATOR_CORES * demand.accelerators, 1e-3)
+
+
+def _without_surplus(
+    chosen: Sequence[Unit],
+    victims: dict[Unit, int],
+    free: _Free,
+    demand: Demand,
+    count: int,
+    cost_of: Callable[[Unit], float],
+) -> list[Unit]:
+    """Leave out the units that need not be stopped for a number of tasks, the costliest first."""
+    left_out: set[Unit] = set()
+    for victim in sorted(chosen, key=cost_of, reverse=True):
+        free.add(victim.demand, -victims[victim])
+        if free.fits(demand) >= count:
+            left_out.add(victim)
+        else:
+            free.add(victim.demand, victims[victim])
+    for victim in left_out:
+        free.add(victim.demand, victims[victim])
+    return [victim for victim in chosen if victim not in left_out]
+
+
+def _limited(unit: Unit, worker: Worker, options: tuple[_Option, ...]) -> tuple[_Option, ...]:
+    """Apply the step's limit of tasks per worker to the options of a worker."""
+    if not unit.step.max_per_worker:
+        return options
+    limit = unit.step.max_per_worker - count_step_tasks(unit, worker)
+    found: list[_Option] = []
+    for option in options:
+        if limit <= 0:
+            break
+        found.append(_Option(count=min(option.count, limit), units=option.units, cost=option.cost))
+        if option.count >= limit:
+            break
+    return tuple(found)
+
+
+def _entries(
+    name: str, options: Sequence[_Option], needed: int
+) -> Iterator[tuple[float, int, str, int]]:
+    """Return heap entries of a worker's options: cost per task, tasks, worker and position."""
+    for index, option in enumerate(options):
+        count = min(option.count, needed)
+        yield option.cost / count, -count, name, index
+        if option.count >= needed:
+            return
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from zinniaweir.dispatch.messages import TaskId
+from zinniaweir.dispatch.preemption_history import PreemptionHistory
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.losses import needs_isolation
 from zinniaweir.workloads.queues import QueueTerms
@@ -163,6 +164,10 @@
     waiting_since: float = 0.0
     wait_logged: bool = False
     """Whether its current wait has been logged."""
+    withheld_run: int = -1
+    """Run after which it was last logged that it waits for headroom, -1 if it never was."""
+    preemptions: PreemptionHistory = field(default_factory=PreemptionHistory)
+    """How often and when it was preempted."""
     preempted_for_at: float | None = None
     """When other work was last preempted for it."""
     preemption_searched_at: float | None = None
@@ -239,6 +244,8 @@
         self.failed = False
         self.begun = False
         """Whether a worker is known to have begun any of its tasks."""
+        self.preemptions = PreemptionHistory()
+        """Preemptions of all of its units."""
         self.ended_at: float | None = None
         """When the job ended or was read from the log as ended, in seconds; None before."""
         self.units = [unit for n in range(len(self.steps)) for unit in self._units_of(n, now)]
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -55,7 +55,8 @@
     "unit_preempted": "a task or gang makes way for an urgent job",
     "unit_stopping": "runs of a task or gang are stopped",
     "unit_waits": (
-        "a task or gang found no room, or has to wait for its customer's quota (`reason`)"
+        "a task or gang found no room, or waits for its customer's quota or for capacity that is"
+        " kept for urgent work (`reason`)"
     ),
     "worker_born_again": "another life of a worker answers",
     "worker_entry_changed": "a worker came, drains or was born again",
