dispatch, bench: speeds of workers and expected durations are learned

Some workers take half of the usual time for the same task, for good, and callers' estimates are off by up to 0.9 of their size. Placement took all workers for alike, and a mean of each queue counted as much as the estimate.

The lasting speed of each worker is learned from sibling tasks of batch steps and from their progress. Urgent units get fast workers, others those that are left, gangs get members of like speed, after failures and the home rack.

--- a/bench/dispatch/replay.py
+++ b/bench/dispatch/replay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 import statistics
 import time
 from collections import Counter, defaultdict
@@ -9,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from bench.dispatch.workloads import RACK_SIZE, SERVICE, Arrival, Deployment
+from bench.dispatch.workloads import SERVICE, Arrival, Deployment
 from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.messages import (
     ActiveRun,
@@ -29,12 +31,18 @@
 TICK_INTERVAL_SECONDS: Final = 0.05
 REMOTE_FACTOR: Final = 3.0
 """Factor on the duration of a task off its home rack, or of a rack-local gang on several racks."""
+MAX_SECONDS: Final = 200.0
+"""Longest simulation."""
 RECORD_SECONDS: Final = 0.05
 """Time between a decision and its start, for the append to the log."""
 RESTORE_SECONDS: Final = 0.6
 """Time to restore a checkpoint."""
 MAX_LATENESS_FACTOR: Final = 3.0
 """A job that ends within this multiple of its objective is late but still of use."""
+SLOW_FACTOR: Final = 7.0
+"""Factor on the duration of work in a period in which its worker is slowed down."""
+SLOW_SECONDS: Final = 3.0
+"""Length of such a period."""
 WINDOW_SECONDS: Final = 5.0
 """Length of the windows by which jobs are grouped for `worst_windows`."""
 MAX_WORTH_FACTOR: Final = 4.0
@@ -61,10 +69,26 @@
     entry: WorkerEntry
     speed: float
     """Relative speed, by which the durations of runs are divided."""
+    slow_periods: tuple[float, ...] = ()
+    """Beginnings of the periods in which it is slowed down, in seconds."""
     runs: dict[tuple[TaskId, int], _Run] = field(default_factory=dict)
     ended: list[EndedRun] = field(default_factory=list)
     number: int = 0
 
+    def seconds_for(self, work: float, *, now: float) -> float:
+        """Return how long some work takes that begins now.
+
+        Args:
+            work: The work, in seconds on a worker of speed 1.
+            now: Current time in seconds.
+        """
+        ends_at = now + work / self.speed
+        for begins_at in self.slow_periods:
+            slowed = min(begins_at + SLOW_SECONDS, ends_at) - max(begins_at, now)
+            if begins_at < ends_at and slowed > 0:
+                ends_at += min(slowed * (SLOW_FACTOR - 1), SLOW_SECONDS)
+        return ends_at - now
+
 
 @dataclass(frozen=True, kw_only=True)
 class Results:
@@ -88,6 +112,8 @@
     """Mean processor time of a planning call in milliseconds."""
     counts: Counter[str]
     """Counters of the dispatcher, and the lost core-seconds of each queue."""
+    delays: dict[str, float]
+    """Mean duration of the jobs of each kind as a multiple of their objective, at most 3 each."""
     seconds: dict[str, tuple[float, bool]]
     """Duration of each job, and whether it earned its whole worth."""
 
@@ -102,10 +128,12 @@
 
     Args:
         deployment: The workers and customers.
+        seed: Seed of the periods in which workers are slowed down.
     """
 
-    def __init__(self, *, deployment: Deployment) -> None:
+    def __init__(self, *, deployment: Deployment, seed: int = 0) -> None:
         self._deployment = deployment
+        self._seed = seed
         self._now = 100.0
         self._workers = {entry.worker: simulated for entry, simulated in self._make_workers()}
         self._arrivals: dict[str, Arrival] = {}
@@ -118,6 +146,8 @@
         """Share of the work that a checkpoint holds, by unit."""
         self.done_at: dict[str, float] = {}
         """When each job completed, in simulated seconds."""
+        self.learned_speeds: dict[str, float] = {}
+        """Learned speeds of workers, as logged."""
         self.dispatcher = Dispatcher(
             now=self._now, predecessor_ended=True, time_limits=TimeLimits(), reporter=self
         )
@@ -135,9 +165,11 @@
         return tuple(sorted({simulated.entry.rack for simulated in self._workers.values()}))
 
     def log(self, event: str, **fields: Any) -> None:
-        """Record when a job completed; other events are ignored."""
+        """Record when a job completed, and learned speeds; other events are ignored."""
         if event == "job_complete":
             self.done_at[fields["job_id"]] = self._now
+        elif event == "worker_speed_learned":
+            self.learned_speeds[fields["worker"]] = fields["speed"]
 
     def count(self, name: str, reason: str) -> None:
         """Increment a counter."""
@@ -163,22 +195,42 @@
 
     def _make_workers(self) -> Iterable[tuple[WorkerEntry, _SimulatedWorker]]:
         for n in range(self._deployment.workers):
-            rack = f"r{n // RACK_SIZE}-0"
+            row = n // self._deployment.rack_size
+            rack = f"r{row}-0"
             entry = WorkerEntry(
                 worker=f"w{n}",
                 service=SERVICE,
                 address=f"w{n}:1",
-                failure_domain=f"zone-{n // RACK_SIZE % 3}",
+                failure_domain=f"zone-{row % 3}",
                 rack=rack,
                 labels=frozenset({rack}),
                 incarnation=1,
                 draining=False,
-                cpu_millis=64_000,
+                cpu_millis=self._deployment.worker_cpu_millis,
                 memory_mb=self._deployment.worker_memory_mb,
                 accelerators=8,
             )
             speeds = self._deployment.speeds
-            yield entry, _SimulatedWorker(entry=entry, speed=speeds[n % len(speeds)])
+            yield (
+                entry,
+                _SimulatedWorker(
+                    entry=entry,
+                    speed=speeds[n % len(speeds)],
+                    slow_periods=self._slow_periods(n),
+                ),
+            )
+
+    def _slow_periods(self, number: int) -> tuple[float, ...]:
+        if math.isinf(self._deployment.slow_interval):
+            return ()
+        source = random.Random(f"{self._seed}-{number}")
+        periods: list[float] = []
+        at = self._now
+        while (
+            at := at + source.expovariate(1 / self._deployment.slow_interval)
+        ) < self._now + MAX_SECONDS:
+            periods.append(at)
+        return tuple(periods)
 
     def _add(self, arrival: Arrival) -> None:
         self._arrivals[arrival.job_id] = arrival
@@ -267,7 +319,8 @@
         unit = assignment.unit
         arrival = self._arrivals[unit.job.job_id]
         simulated = self._workers[assignment.worker]
-        seconds = arrival.seconds[unit.step_number][assignment.index] / simulated.speed
+        work = arrival.seconds[unit.step_number][assignment.index]
+        seconds = simulated.seconds_for(work, now=self._now)
         step = unit.step
         racks = {self._workers[a.worker].entry.rack for a in unit.assignments.values()}
         off_home_rack = bool(step.home_rack) and simulated.entry.rack != step.home_rack
@@ -303,7 +356,11 @@
         simulated.number += 1
         simulated.ended.append(
             EndedRun(
-                number=simulated.number, task=run.key[0], run=run.key[1], end=end, checkpoint=""
+                number=simulated.number,
+                task=run.key[0],
+                run=run.key[1],
+                end=end,
+                checkpoint="saved" if self._saved[_unit_key(run.assignment)] else "",
             )
         )
 
@@ -323,6 +380,7 @@
         large = {name: sorted(values)[int(len(values) * 0.9)] for name, values in sizes.items()}
         earned: dict[tuple[str, object], list[float]] = defaultdict(lambda: [0.0, 0.0])
         seconds: dict[str, tuple[float, bool]] = {}
+        delays: dict[str, list[float]] = defaultdict(list)
         for arrival in self._arrivals.values():
             kind, size = arrival.kind, arrival.core_seconds
             possible = kind.worth * min(0.3 + 0.7 * size / means[kind.name], MAX_WORTH_FACTOR)
@@ -330,6 +388,7 @@
             done = self.done_at.get(arrival.job_id)
             duration = float("inf") if done is None else done - started_at - arrival.at
             seconds[arrival.job_id] = (duration, earned_worth == possible)
+            delays[kind.name].append(min(duration / arrival.objective, MAX_LATENESS_FACTOR))
             keys: list[tuple[str, object]] = [
                 ("all", ""),
                 ("kind", kind.name),
@@ -360,6 +419,7 @@
             lost_worth=LOST_WORK_COST * self._wasted / earned["all", ""][1],
             plan_ms=1e3 * statistics.fmean(self._plan_times),
             counts=self.counts,
+            delays={name: statistics.fmean(values) for name, values in delays.items()},
             seconds=seconds,
         )
 
--- a/bench/dispatch/workloads.py
+++ b/bench/dispatch/workloads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -90,6 +91,11 @@
     """Time between the stop of a task and its end."""
     customers: int
     kinds: tuple[JobKind, ...]
+    worker_cpu_millis: int = 64_000
+    rack_size: int = RACK_SIZE
+    """Number of workers in a rack."""
+    slow_interval: float = math.inf
+    """Mean time between two periods in which a worker is slowed down, in seconds."""
     guaranteed_share: float = 0.62
     """Share of all accelerators that is guaranteed to the customers together."""
 
@@ -235,9 +241,11 @@
     seconds = tuple(work * source.uniform(0.85, 1.15) for _ in range(count))
     accelerators = source.choice(kind.accelerators)
     per_worker = min(
-        64_000 // kind.cpu_millis, deployment.worker_memory_mb // kind.memory_mb, 8 // accelerators
+        deployment.worker_cpu_millis // kind.cpu_millis,
+        deployment.worker_memory_mb // kind.memory_mb,
+        8 // accelerators,
     )
-    rack_capacity = RACK_SIZE * per_worker
+    rack_capacity = deployment.rack_size * per_worker
     error = source.uniform(1 - kind.estimate_error, 1 + kind.estimate_error)
     step = StepSpec(
         count=count,
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -27,6 +27,7 @@
 from zinniaweir.dispatch.succession import Succession
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, LateStart, OwnedJob, Unit
+from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import Configuration
 from zinniaweir.workloads.records import Progress
@@ -86,10 +87,12 @@
         self._fleet = Fleet()
         self._health = WorkerHealth()
         self._run_times = RunTimes()
+        self._speeds = WorkerSpeeds(reporter=reporter)
         self._runs = Runs(
             fleet=self._fleet,
             health=self._health,
             run_times=self._run_times,
+            speeds=self._speeds,
             reporter=reporter,
         )
         self._listings = Listings(
@@ -115,6 +118,7 @@
             fleet=self._fleet,
             health=self._health,
             run_times=self._run_times,
+            speeds=self._speeds,
             time_limits=time_limits,
             apart_from=self._runs.suspects.apart_from,
             inherited=self._inherited,
@@ -458,6 +462,7 @@
             return
         self._runs.changed, self._planned_at = False, now
         self._expiry.apply(now)
+        self._speeds.refresh()
         self._hold_units_with_late_starts(now)
         for unit in units_to_move(
             self._fleet,
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -129,6 +129,7 @@
             self._runs.suspects.clear_survivor(assignment, now=worker.alive_at)
         if row.percent != assignment.percent or not assignment.progress_at:
             assignment.percent, assignment.progress_at = row.percent, now
+            self._runs.speeds.record_progress(worker, assignment, now=now)
         elif (
             row.percent
             and now - assignment.progress_at > STALL_TIMEOUT_SECONDS
@@ -136,6 +137,7 @@
             and len(assignment.unit.indexes) == 1
         ):
             self._health.record_stall(worker.name, now=now)
+            self._runs.speeds.exclude(assignment)
 
     def _handle_ended_run(self, worker: Worker, row: EndedRun, now: float) -> None:
         if row.number <= worker.applied_end:
--- a/packages/dispatch/src/zinniaweir/dispatch/ordering.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/ordering.py
@@ -48,7 +48,7 @@
     for number, step in enumerate(job.steps):
         before = max((lengths[earlier] for earlier in step.depends_on), default=0.0)
         done = remaining and not job.open_units[number]
-        seconds = 0.0 if done else run_times.expect(job.terms.name, step.estimate_ms)
+        seconds = 0.0 if done else run_times.expect(job, step)
         lengths.append(before + seconds)
     return max(lengths)
 
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -5,10 +5,15 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Final
 
 from zinniaweir.dispatch.fleet import Worker
+from zinniaweir.dispatch.ordering import URGENT_PRIORITY
 from zinniaweir.dispatch.units import Unit
 
+CRITERIA_BEFORE_SPEED: Final = 2
+"""Number of criteria of a candidate's cost that count before its speed."""
+
 
 @dataclass(kw_only=True, slots=True)
 class Candidate:
@@ -19,6 +24,8 @@
     """Number of tasks that fit."""
     cost: tuple[float, ...]
     """Sort key; lower is better."""
+    level: int = 0
+    """Speed level; 0 is usual, higher is faster."""
 
 
 def allowed_on(unit: Unit, worker: Worker) -> bool:
@@ -83,6 +90,7 @@
     *,
     rack_use: Mapping[str, int],
     failed_job_count: Callable[[str], int] = lambda _: 0,
+    speed_level: Callable[[Worker], int] | None = None,
     spread_allowed: bool = False,
     empty_only: bool = False,
 ) -> list[Worker] | None:
@@ -95,32 +103,34 @@
         workers: Workers that may be used.
         rack_use: Accelerators in use, by rack.
         failed_job_count: Returns how many jobs failed on a worker; workers with more are used last.
+        speed_level: Returns the speed level of a worker; None if all are of the usual speed. Urgent
+            units get fast workers, other units those that are left, and gangs get workers of like
+            speed. It decides only between workers with equal failures and distance from the
+            data, so no unit waits or spreads for it.
         spread_allowed: Whether a rack-local gang may use several racks.
         empty_only: Whether only workers without any task may be used.
 
     Returns:
         One worker for each index of the unit, or None if the tasks don't fit.
     """
-    candidates = [
-        Candidate(
-            worker=worker,
-            count=count,
-            cost=_cost(
-                unit, worker, failed_job_count(worker.name), rack_use.get(worker.entry.rack, 0)
-            ),
-        )
-        for worker in workers
-        if (count := capacity_for(unit, worker, empty_only=empty_only)) > 0
-    ]
+    candidates = []
+    for worker in workers:
+        count = capacity_for(unit, worker, empty_only=empty_only)
+        if count > 0:
+            level = speed_level(worker) if speed_level is not None else 0
+            failed, rack_used = failed_job_count(worker.name), rack_use.get(worker.entry.rack, 0)
+            cost = _cost(unit, worker, failed, rack_used, level)
+            candidates.append(Candidate(worker=worker, count=count, cost=cost, level=level))
     needed = len(unit.indexes)
     if sum(candidate.count for candidate in candidates) < needed:
         return None
     candidates.sort(key=lambda c: c.cost)
+    urgent = unit.job.terms.priority == URGENT_PRIORITY
     if needed > 1 and unit.step.rack_local:
-        found = _fill_one_rack(candidates, needed)
+        found = _fill_one_rack(candidates, needed, urgent=urgent)
         if found is not None or not spread_allowed:
             return found
-    return _fill(candidates, needed)
+    return _fill_alike(candidates, needed, urgent=urgent)
 
 
 def max_rack_capacity(workers: Iterable[Worker], unit: Unit) -> int:
@@ -129,8 +139,11 @@
     return max((sum(empty_capacity_for(unit, w) for w in rack) for rack in racks), default=0)
 
 
-def _cost(unit: Unit, worker: Worker, failed_job_count: int, rack_used: int) -> tuple[float, ...]:
+def _cost(
+    unit: Unit, worker: Worker, failed_job_count: int, rack_used: int, level: int
+) -> tuple[float, ...]:
     step = unit.step
+    speed_cost = -level if unit.job.terms.priority == URGENT_PRIORITY else level
     off_home_rack = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
     memory_left = worker.entry.memory_mb - worker.used_memory - step.memory_mb
@@ -138,19 +151,86 @@
         float(failed_job_count),
         float(off_home_rack),
         float(left),
+        float(speed_cost),
         -float(rack_used),
         float(memory_left),
     )
 
 
-def _fill_one_rack(candidates: Sequence[Candidate], needed: int) -> list[Worker] | None:
+def _fill_one_rack(
+    candidates: Sequence[Candidate], needed: int, *, urgent: bool
+) -> list[Worker] | None:
     racks: dict[str, list[Candidate]] = defaultdict(list)
     for candidate in candidates:
         racks[candidate.worker.entry.rack].append(candidate)
     fitting = [rack for rack in racks.values() if sum(c.count for c in rack) >= needed]
     if not fitting:
         return None
-    return _fill(min(fitting, key=lambda rack: sum(c.count for c in rack)), needed)
+    if urgent and any(c.level for c in candidates):
+        fitting = _fastest(fitting, needed)
+    rack = min(fitting, key=lambda rack: sum(c.count for c in rack))
+    return _fill_alike(rack, needed, urgent=urgent)
+
+
+def _fastest(racks: Sequence[list[Candidate]], needed: int) -> list[list[Candidate]]:
+    """Return the racks in which the slowest member of a gang is fastest."""
+    levels = [_gang_level(rack, needed) for rack in racks]
+    best = max(levels)
+    return [rack for rack, level in zip(racks, levels, strict=True) if level == best]
+
+
+def _gang_level(candidates: Sequence[Candidate], needed: int) -> int:
+    """Return the highest level of which, or above, there is capacity for a whole gang."""
+    for candidate in sorted(candidates, key=lambda c: -c.level):
+        needed -= candidate.count
+        if needed <= 0:
+            return candidate.level
+    raise ValueError("too little capacity")
+
+
+def _fill_alike(
+    candidates: Sequence[Candidate], needed: int, *, urgent: bool
+) -> list[Worker] | None:
+    """Fill candidates in their order, but with members of like speed if they differ."""
+    levels = sorted({candidate.level for candidate in candidates})
+    if needed == 1 or len(levels) < 2:
+        return _fill(candidates, needed)
+    best: tuple[tuple[float, ...], list[Worker]] | None = None
+    for level in levels:
+        eligible = [candidate for candidate in candidates if candidate.level >= level]
+        eligible.sort(key=lambda c: (*c.cost[:CRITERIA_BEFORE_SPEED], c.level, c.cost))
+        chosen = _fill(eligible, needed)
+        if chosen is None:
+            break
+        score = _gang_score(eligible, needed, urgent=urgent)
+        if best is None or score < best[0]:
+            best = score, chosen
+    return None if best is None else best[1]
+
+
+def _gang_score(candidates: Sequence[Candidate], needed: int, *, urgent: bool) -> tuple[float, ...]:
+    """Return the sort key of a choice for a gang; lower is better.
+
+    Failures and the distance from the data come first, summed over the members. Of the speeds, an
+    urgent gang minds its slowest member; other gangs mind the fast workers that they take and the
+    speed that is wasted, since all members run as slowly as the slowest one.
+    """
+    costs = [0.0] * CRITERIA_BEFORE_SPEED
+    levels: list[int] = []
+    for candidate in candidates:
+        count = min(candidate.count, needed - len(levels))
+        if not count:
+            break
+        costs = [
+            cost + count * own
+            for cost, own in zip(costs, candidate.cost[:CRITERIA_BEFORE_SPEED], strict=True)
+        ]
+        levels += [candidate.level] * count
+    slowest = min(levels)
+    wasted = float(sum(levels) - needed * slowest)
+    if urgent:
+        return (*costs, float(-slowest), wasted)
+    return (*costs, wasted + sum(level for level in levels if level > 0), float(slowest))
 
 
 def _fill(candidates: Sequence[Candidate], needed: int) -> list[Worker] | None:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -17,12 +17,15 @@
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
+from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 from zinniaweir.workloads.queues import Configuration, ResourceLimit
 
 PLACEMENT_SECONDS: Final = 0.4
 """Time to record and start a placement, while the view must stay recent enough for the start."""
 EXPECTED_STOP_SECONDS: Final = 0.6
 """Expected time until a stopped or overdue task has ended."""
+TRUSTED_PERCENT: Final = 20
+"""Progress from which it alone tells when a task ends."""
 IDLE_QUOTA_SHARE: Final = 0.5
 """A customer with less than this share of its quota in use has room for other work."""
 
@@ -43,6 +46,7 @@
         fleet: The workers.
         health: Health of the workers.
         run_times: Expected durations.
+        speeds: Speeds of the workers.
         time_limits: Durations that limit the age of views.
         apart_from: Returns the workers that a unit should keep away from, since the units there and
             this one were lost with one worker.
@@ -56,6 +60,7 @@
         fleet: Fleet,
         health: WorkerHealth,
         run_times: RunTimes,
+        speeds: WorkerSpeeds,
         time_limits: TimeLimits,
         apart_from: Callable[[Unit], set[str]],
         inherited: Iterable[Assignment],
@@ -65,6 +70,7 @@
         self._inherited = inherited
         self._health = health
         self._run_times = run_times
+        self._speeds = speeds
         self._time_limits = time_limits
         self._apart_from = apart_from
         self._reporter = reporter
@@ -179,6 +185,7 @@
             usable=[w for w in self._fleet if not self.exclusion_reason(w, now)],
             usable_soon=[w for w in self._fleet if self.usable_soon(w)],
             apart_from=self._apart_from,
+            speed_level=self._speeds.level if self._speeds.differ else None,
             quotas=quotas,
             place=place,
             stop=stop,
@@ -220,17 +227,28 @@
         """Return when an assignment is expected to end, in seconds."""
         if assignment.stop_reason:
             return now + EXPECTED_STOP_SECONDS
-        step, queue = assignment.unit.step, assignment.unit.job.terms.name
-        expected = self._run_times.expect(queue, step.estimate_ms)
+        percent = assignment.percent
         if assignment.started_at is None:
-            return now + expected
+            return now + self._expected_seconds(assignment)
         elapsed = now - assignment.started_at
         if assignment.inherited or assignment.unit.run_checkpoint:
             # The run began before `started_at`, or with part of its work done.
-            return now + expected * (100 - assignment.percent) / 100
-        if assignment.percent > 0:
-            return now + elapsed / assignment.percent * (100 - assignment.percent)
-        return now + max(expected - elapsed, EXPECTED_STOP_SECONDS)
+            return now + self._expected_seconds(assignment) * (100 - percent) / 100
+        if percent >= TRUSTED_PERCENT:
+            return now + elapsed / percent * (100 - percent)
+        left = max(self._expected_seconds(assignment) - elapsed, EXPECTED_STOP_SECONDS)
+        if percent > 0:
+            # Few percent tell little, since they are whole numbers and starts take time.
+            trust = percent / TRUSTED_PERCENT
+            left = trust * elapsed / percent * (100 - percent) + (1 - trust) * left
+        return now + left
+
+    def _expected_seconds(self, assignment: Assignment) -> float:
+        """Return the expected duration of a whole run on its workers in seconds."""
+        unit = assignment.unit
+        members = unit.assignments.values()
+        speed = self._speeds.slowest(self._fleet.get(member.worker) for member in members)
+        return self._run_times.expect(unit.job, unit.step) / speed
 
     def quota_idle_since(self, customer: str) -> float:
         """Return since when most of a customer's quota is idle, in seconds; infinity if not."""
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -15,8 +15,8 @@
 from zinniaweir.dispatch.preemption import choose_eviction, lost_core_seconds_of, unit_cores
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
-from zinniaweir.dispatch.reservations import BACKFILL_MARGIN, Reservation, reserve
-from zinniaweir.dispatch.run_times import RunTimes
+from zinniaweir.dispatch.reservations import Reservation, reserve
+from zinniaweir.dispatch.run_times import CAUTIOUS, RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.losses import is_seen_to_work
 from zinniaweir.workloads.spec import StepSpec
@@ -86,6 +86,8 @@
     """Current time in seconds."""
     apart_from: Callable[[Unit], set[str]]
     """Returns the workers that a unit should keep away from."""
+    speed_level: Callable[[Worker], int] | None
+    """Returns the speed level of a worker; None if all workers have the usual speed."""
     quotas: Quotas
     """Quotas of customers, with what they have in use."""
     view_age: float
@@ -166,6 +168,7 @@
             self._open_to(unit, self._with_capacity_for(unit), excluded),
             rack_use=self._rack_use,
             failed_job_count=self._health.failed_job_count,
+            speed_level=self._context.speed_level,
             spread_allowed=spread_allowed,
             empty_only=self._needs_empty_workers(unit),
         )
@@ -214,8 +217,11 @@
 
     def _ends_before(self, unit: Unit, time: float) -> bool:
         """Return whether a unit that is started now is expected to end before a time."""
-        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
-        return self._now + BACKFILL_MARGIN * expected <= time
+        return self._cautious_end(unit) <= time
+
+    def _cautious_end(self, unit: Unit) -> float:
+        """Return when a unit that is started now will most likely have ended, in seconds."""
+        return self._now + self._run_times.expect(unit.job, unit.step, quantile=CAUTIOUS)
 
     def _stop_own_work_for(self, unit: Unit, rank: Rank, *, covered: bool) -> None:
         """Preempt less urgent work of the same customer, which takes the room in its quota."""
@@ -285,8 +291,7 @@
             return set()
         if self._idle and self._has_waited_without_running(unit, MAX_RESERVATION_WAIT_SECONDS):
             return set()
-        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
-        end = self._now + BACKFILL_MARGIN * expected
+        end = self._cautious_end(unit)
         kept = (r.workers for r in self._reservations if end > r.ready_at)
         return set().union(*kept)
 
@@ -393,7 +398,7 @@
 
     def _worth_losing(self, unit: Unit, lost_core_seconds: float) -> bool:
         """Return whether urgent work beyond a guarantee may cost as much work of others."""
-        expected = self._run_times.expect(unit.job.terms.name, unit.step.estimate_ms)
+        expected = self._run_times.expect(unit.job, unit.step)
         return lost_core_seconds <= MAX_PREEMPTION_LOSS_RATIO * unit_cores(unit) * expected
 
     def _preempt(
--- a/packages/dispatch/src/zinniaweir/dispatch/reservations.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/reservations.py
@@ -4,18 +4,11 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Final
 
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.placement import allowed_on, empty_capacity_for, group_by_rack
 from zinniaweir.dispatch.units import Unit
 
-BACKFILL_MARGIN: Final = 1.3
-"""Factor on the expected duration of work that is backfilled onto reserved workers.
-
-It must still end before the reservation starts.
-"""
-
 
 @dataclass(frozen=True, kw_only=True)
 class Reservation:
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -14,6 +14,7 @@
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.run_times import RunTimes
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
+from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 
 CRASHES_WORKERS: Final = "crashes_workers"
 """Reason for which a job is given up: a task or gang of it crashes the workers that start it."""
@@ -26,14 +27,23 @@
         fleet: The workers.
         health: Health of the workers.
         run_times: Expected durations.
+        speeds: Speeds of the workers.
         reporter: Receives log events, counts and durations.
     """
 
     def __init__(
-        self, *, fleet: Fleet, health: WorkerHealth, run_times: RunTimes, reporter: Reporter
+        self,
+        *,
+        fleet: Fleet,
+        health: WorkerHealth,
+        run_times: RunTimes,
+        speeds: WorkerSpeeds,
+        reporter: Reporter,
     ) -> None:
         self.suspects = CrashSuspects(on_changed=self._on_losses_changed, reporter=reporter)
         """Units that were lost with their workers."""
+        self.speeds = speeds
+        """Speeds of the workers."""
         self._fleet = fleet
         self._health = health
         self._run_times = run_times
@@ -117,6 +127,8 @@
         unit, job = assignment.unit, assignment.unit.job
         if unit.assignments.get(assignment.index) is not assignment:
             return
+        if end is RunEnd.DONE:
+            self._record_duration(assignment, worker, now)
         del unit.assignments[assignment.index]
         self._count("ends", end)
         self._log(
@@ -200,12 +212,25 @@
                 worker.recompute_fits()
 
     def _complete_unit(self, assignment: Assignment, now: float) -> None:
-        unit, job = assignment.unit, assignment.unit.job
+        unit = assignment.unit
         self._health.record_success(assignment.worker)
-        if assignment.started_at is not None and not assignment.inherited and not unit.checkpoint:
-            self._run_times.add(job.terms.name, now - assignment.started_at)
         self._finish_unit(unit, now)
 
+    def _record_duration(self, assignment: Assignment, worker: Worker | None, now: float) -> None:
+        unit, job = assignment.unit, assignment.unit.job
+        if worker is not None:
+            self.speeds.record_end(worker, assignment, now=now)
+        if (
+            assignment.started_at is not None
+            and not assignment.inherited
+            and not unit.run_checkpoint
+            and not unit.done
+        ):
+            speed = self.speeds.slowest(
+                self._fleet.get(member.worker) for member in unit.assignments.values()
+            )
+            self._run_times.add(job, unit.step, (now - assignment.started_at) * speed)
+
     def complete_lost_run(self, unit: Unit, now: float) -> None:
         """Complete a unit whose newest run was taken for lost, or was interrupted, but was done."""
         if not unit.done:
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -64,5 +64,6 @@
     "worker_listed": "a worker told its runs to this owner for the first time",
     "worker_lost": "a worker is taken for gone",
     "worker_paused": "a worker gets no work for some seconds",
+    "worker_speed_learned": "a worker proved to be faster, slower or as fast as usual, for good",
 }
 """Meaning by event name; a test compares it with the code and with the operators' page."""
