dispatch, workloads: shares of customers decide the order while capacity is short

Cause: waiting work of one band was ordered by latest start alone, so the customer that submitted most got most, and stated weights were not read.

Change: dispatch/shares.py takes the units of a band one by one, each time of the customer that holds least in relation to its weight (dominant share, workloads/shares.py), if the band wants more than is free and weights are stated or one customer holds more than 1.5 times its part while another one waits with less than half of its own. Otherwise the order is as before. Covered jobs stay first.

--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -15,6 +15,7 @@
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.run_times import RunTimes
+from zinniaweir.dispatch.shares import ShareInputs, SharePolicy, ShareTurns
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.queues import Configuration, ResourceLimit
@@ -71,6 +72,7 @@
         self._guaranteed: dict[str, int] = {}
         self._quotas: dict[str, ResourceLimit] = {}
         self._quota_idle_since: dict[str, float] = {}
+        self._share_policy = SharePolicy(reporter=reporter)
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
         self._jobs_read_at = float("-inf")
@@ -86,6 +88,7 @@
         """
         self._guaranteed = {c.name: c.guaranteed_accelerators for c in configuration.customers}
         self._quotas = {c.name: c.quota for c in configuration.customers}
+        self._share_policy.configure(configuration.customers)
         self._evacuated = evacuated
 
     def update_view_time(self, read_at: float, *, jobs_read_at: float) -> None:
@@ -161,6 +164,7 @@
             place: Called for each unit that is placed.
             stop: Called for each unit that is preempted.
         """
+        self._share_policy.end_unused(now)
         open_jobs = [job for job in jobs if not job.closed and job.job_id not in self._set_aside]
         waiting = [job for job in open_jobs if any(True for _ in job.ready_units())]
         if not waiting or now + PLACEMENT_SECONDS > self.starts_allowed_until:
@@ -173,14 +177,25 @@
             for customer in quotas.customers
             if quotas.share_in_use(customer) < IDLE_QUOTA_SHARE
         }
+        usable = [w for w in self._fleet if not self.exclusion_reason(w, now)]
+        shares = ShareTurns(
+            policy=self._share_policy,
+            inputs=ShareInputs(
+                now=now,
+                usable=usable,
+                quotas=quotas,
+                fleet=self._fleet,
+                inherited=self._inherited,
+            ),
+        )
         context = PassContext(
             now=now,
             view_age=now - self._view_at,
-            usable=[w for w in self._fleet if not self.exclusion_reason(w, now)],
+            usable=usable,
             usable_soon=[w for w in self._fleet if self.usable_soon(w)],
             apart_from=self._apart_from,
             quotas=quotas,
-            place=place,
+            place=shares.counting(place),
             stop=stop,
         )
         planning_pass = PlanningPass(
@@ -190,9 +205,11 @@
             run_times=self._run_times,
             reporter=self._reporter,
         )
-        for job, job_rank in self._ranked(waiting, covered, now):
+        for job, job_rank, units in shares.turns(self._ranked(waiting, covered, now), covered):
+            if job.job_id in self._set_aside:
+                continue
             with self._set_aside_on_fault(job):
-                for unit in list(job.ready_units()):
+                for unit in list(units):
                     planning_pass.schedule_unit(unit, job_rank, covered=job.job_id in covered)
 
     @contextmanager
--- a/packages/dispatch/src/zinniaweir/dispatch/quotas.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/quotas.py
@@ -41,6 +41,11 @@
         total.add(step, tasks)
         return total
 
+    @property
+    def amounts(self) -> tuple[int, int, int]:
+        """Thousandths of a core, MB and accelerators."""
+        return self.cpu_millis, self.memory_mb, self.accelerators
+
     def within(self, limit: ResourceLimit) -> bool:
         """Return whether the resources are within a limit."""
         return limit.admits(
@@ -59,11 +64,38 @@
         return max((used / most for used, most in pairs if most), default=0.0)
 
 
+def counted_units(
+    fleet: Fleet, inherited: Iterable[Assignment], now: float
+) -> Iterator[tuple[Unit, bool]]:
+    """Yield the unit of each task that may run, and whether the task has an assignment.
+
+    These are runs that work, that are being started or stopped, runs without an assignment, and
+    starts without an answer on a worker that may be restarting.
+
+    Args:
+        fleet: The workers with their assignments.
+        inherited: Assignments of a previous owner on workers that are not in the fleet yet.
+        now: Current time in seconds.
+    """
+    for worker in fleet:
+        for assignment in worker.assignments.values():
+            yield assignment.unit, True
+        for key, orphan_run in worker.orphan_runs.items():
+            if orphan_run.unit is not None and key not in worker.assignments:
+                yield orphan_run.unit, False
+        if worker.unanswered:
+            for key, start in worker.late_starts.items():
+                known = key in worker.assignments or key in worker.orphan_runs
+                if not known and start.may_arrive(now):
+                    yield start.unit, False
+    for assignment in inherited:
+        yield assignment.unit, True
+
+
 class Quotas:
     """Maximums of customers and what counts against them during one planning pass.
 
-    Everything that may run counts: runs that work, that are being started or stopped, runs
-    without an assignment, and starts without an answer on a worker that may be restarting.
+    Everything that may run counts, see `counted_units`.
 
     Args:
         quotas: Quota by customer; a customer without one is not limited.
@@ -84,19 +116,10 @@
         """
         if not self._quotas:
             return
-        for worker in fleet:
-            for assignment in worker.assignments.values():
-                self._count(assignment)
-            for key, orphan_run in worker.orphan_runs.items():
-                if orphan_run.unit is not None and key not in worker.assignments:
-                    self._add(orphan_run.unit, 1)
-            if worker.unanswered:
-                for key, start in worker.late_starts.items():
-                    known = key in worker.assignments or key in worker.orphan_runs
-                    if not known and start.may_arrive(now):
-                        self._add(start.unit, 1)
-        for assignment in inherited:
-            self._count(assignment)
+        for unit, assigned in counted_units(fleet, inherited, now):
+            self._add(unit, 1)
+            if assigned and unit.job.customer in self._quotas:
+                self._running.setdefault(unit.job.customer, {})[unit] = None
 
     @property
     def customers(self) -> Iterable[str]:
@@ -187,11 +210,6 @@
                 return _without_surplus(chosen, total, quota)
         return []
 
-    def _count(self, assignment: Assignment) -> None:
-        self._add(assignment.unit, 1)
-        if assignment.unit.job.customer in self._quotas:
-            self._running.setdefault(assignment.unit.job.customer, {})[assignment.unit] = None
-
     def _add(self, unit: Unit, tasks: int) -> None:
         self._usage.setdefault(unit.job.customer, Usage()).add(unit.step, tasks)
 
--- /dev/null
+++ b/packages/workloads/src/zinniaweir/workloads/shares.py
@@ -0,0 +1,86 @@
+"""Shares that customers hold of capacity that is too small for all of their work."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import Final
+
+DEFAULT_WEIGHT: Final = 1.0
+"""Weight of a customer without a stated one."""
+MIN_WEIGHT: Final = 1e-3
+"""Weight that counts for a customer whose stated weight is lower."""
+EXCESS_RATIO: Final = 1.5
+"""A customer holds far more than its part of the capacity above this ratio of the two."""
+SHORTAGE_RATIO: Final = 0.5
+"""A customer holds far less than its part of the capacity below this ratio of the two."""
+RATIO_STEP: Final = 0.1
+"""Ratios are compared in steps of this size; a smaller difference is no reason to be late."""
+
+
+def dominant_share(used: Sequence[float], capacity: Sequence[float]) -> float:
+    """Return the largest of the shares of all resources.
+
+    Args:
+        used: Amount in use of each resource.
+        capacity: Amount of each resource in the same order and units; 0 if there is none.
+    """
+    return max((u / c for u, c in zip(used, capacity, strict=True) if c > 0), default=0.0)
+
+
+class CustomerShares:
+    """Ratio of what each customer holds to its part of the capacity, 1 if the two are equal.
+
+    What a customer holds is its dominant share; its part is its weight among those of all
+    customers that hold something or wait.
+
+    Args:
+        capacity: Amount of each resource.
+        used: Amount in use of each resource, by customer.
+        weights: Stated weight by customer.
+        waiting: Customers that wait.
+    """
+
+    def __init__(
+        self,
+        *,
+        capacity: Sequence[float],
+        used: Mapping[str, Sequence[float]],
+        weights: Mapping[str, float],
+        waiting: Iterable[str],
+    ) -> None:
+        self._capacity = capacity
+        self._used = {customer: list(amounts) for customer, amounts in used.items()}
+        active = sorted({*waiting, *(c for c, amounts in used.items() if any(amounts))})
+        counted = {c: max(weights.get(c, DEFAULT_WEIGHT), MIN_WEIGHT) for c in active}
+        total = sum(counted.values())
+        self._parts = {customer: weight / total for customer, weight in counted.items()}
+        self._ratios = {customer: self._compute_ratio(customer) for customer in active}
+
+    def add(self, customer: str, amounts: Sequence[float]) -> None:
+        """Count work of an active customer that is placed."""
+        before = self._used.get(customer) or [0.0] * len(self._capacity)
+        self._used[customer] = [a + b for a, b in zip(before, amounts, strict=True)]
+        self._ratios[customer] = self._compute_ratio(customer)
+
+    def ratio(self, customer: str) -> float:
+        """Return what an active customer holds as a ratio of its part of the capacity."""
+        return self._ratios[customer]
+
+    def level(self, customer: str) -> int:
+        """Return the ratio of an active customer in whole steps, to compare customers by."""
+        return int(self._ratios[customer] / RATIO_STEP)
+
+    def is_uneven(self, waiting: Collection[str]) -> bool:
+        """Return whether a customer holds far more than its part while another is far below it.
+
+        Args:
+            waiting: The active customers that wait.
+        """
+        excess = max(self._ratios.values(), default=0.0) > EXCESS_RATIO
+        return excess and any(self._ratios[customer] < SHORTAGE_RATIO for customer in waiting)
+
+    def _compute_ratio(self, customer: str) -> float:
+        used = self._used.get(customer)
+        if used is None:
+            return 0.0
+        return dominant_share(used, self._capacity) / self._parts[customer]
