telemetry: lines of the two share events keep to 100 columns

Cause: the meanings of share_order_began and share_order_ended made two lines of events.py longer than the limit of ruff. Change: they are wrapped; the texts are the same.

--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -37,8 +37,12 @@
     "reload_refused": "a changed settings file could not be read",
     "reloaded": "a changed settings file was read",
     "rows_ignored": "rows of a worker's list, or parts of them, could not be read; the others hold",
-    "share_order_began": "a band of waiting work is ordered by the shares of customers (`place`, `cause`)",
-    "share_order_ended": "capacity suffices for a band again, its order is that of the latest starts",
+    "share_order_began": (
+        "a band of waiting work is ordered by the shares of customers (`place`, `cause`)"
+    ),
+    "share_order_ended": (
+        "capacity suffices for a band again, its order is that of the latest starts"
+    ),
     "start_after_notice": "a run may have begun after its worker said that it drains",
     "start_unanswered": "a start brought no answer and is sent again",
     "started": "the process serves",
