workloads, dispatch: turns of customers are shared code

Change: workloads/turns.py chooses the customer that is next, workloads/shares.py limits demand to quotas, and ResourceLimit uses the same comparison with limits. dispatch/shares.py keeps what is its own: when shares decide, what is counted, and its time limits. Decisions are the same.

--- a/packages/dispatch/src/zinniaweir/dispatch/shares.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/shares.py
@@ -13,15 +13,12 @@
 from zinniaweir.dispatch.quotas import Quotas, Usage, counted_units
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
-from zinniaweir.workloads.queues import Customer, ResourceLimit
-from zinniaweir.workloads.shares import CustomerShares
-
-LAST_CHANCE_SECONDS: Final = 0.5
-"""Work that must start within this time may go before work that loses nothing by it."""
-YIELD_SPARE_SECONDS: Final = 1.0
-"""Work that may start this much later and still be in time loses nothing by a short wait."""
-MAX_YIELD_SECONDS: Final = 0.5
-"""Time after which waiting work does not let others go first, so that a stream cannot starve it."""
+from zinniaweir.workloads.queues import Customer
+from zinniaweir.workloads.shares import CustomerShares, demand_within
+from zinniaweir.workloads.turns import Head, TurnLimits, Turns
+
+TURN_LIMITS: Final = TurnLimits(last_chance_seconds=0.5, spare_seconds=1.0, wait_seconds=0.5)
+"""Tasks last some seconds, and capacity is given back several times in a second."""
 END_AFTER_SECONDS: Final = 1.0
 """Time without a shortage after which shares have stopped to decide."""
 
@@ -183,75 +180,50 @@
             ranked, key=lambda pair: (pair[0].job_id not in covered, pair[1].band)
         ):
             jobs = list(group)
-            if uncovered and self._shares_decide(band, jobs):
-                yield from self._by_share(jobs)
-            else:
-                for job, rank in jobs:
-                    yield Turn(job, rank, job.ready_units())
-            self._shares = None
-
-    def _shares_decide(self, band: int, jobs: Sequence[RankedJob]) -> bool:
+            self._shares = self._deciding_shares(band, jobs) if uncovered else None
+            if self._shares is not None:
+                yield from self._by_share(jobs, self._shares)
+                continue
+            for job, rank in jobs:
+                yield Turn(job, rank, job.ready_units())
+
+    def _deciding_shares(self, band: int, jobs: Sequence[RankedJob]) -> CustomerShares | None:
+        """Return what customers hold if that decides the order of a band, else None."""
         customers = {job.customer for job, _ in jobs}
         if len(customers) < 2:
-            return False
+            return None
         demand = _Demand(jobs, self._inputs.quotas)
         if not demand.startable or not demand.exceeds_free(self._inputs.usable):
-            return False
+            return None
         if self._used is None:
             self._used = self._count_used()
-        self._shares = CustomerShares(
+        shares = CustomerShares(
             capacity=_capacity(self._inputs.usable),
             used={customer: usage.amounts for customer, usage in self._used.items()},
             weights=self._policy.weights,
             waiting=customers,
         )
-        return self._policy.decides(
-            band, self._shares, waiting=list(demand.startable), now=self._inputs.now
+        decides = self._policy.decides(
+            band, shares, waiting=list(demand.startable), now=self._inputs.now
         )
+        return shares if decides else None
 
-    def _by_share(self, jobs: Sequence[RankedJob]) -> Iterator[Turn]:
-        """Yield units one by one, each time of the customer that holds least of its part."""
+    def _by_share(self, jobs: Sequence[RankedJob], shares: CustomerShares) -> Iterator[Turn]:
+        """Yield units one by one, each time of the customer that is next."""
         waiting: dict[str, deque[_Entry]] = defaultdict(deque)
         for job, rank in jobs:
             waiting[job.customer].extend(_Entry(job, rank, unit) for unit in job.ready_units())
-        waiting = {customer: entries for customer, entries in waiting.items() if entries}
-        while waiting:
-            customer = self._choose_customer(waiting)
+        turns = Turns(shares=shares, limits=TURN_LIMITS, now=self._inputs.now)
+        for customer, entries in waiting.items():
+            turns.set_head(customer, _head(entries))
+        while (customer := turns.choose()) is not None:
             entries = waiting[customer]
             job, placed = entries[0].job, self._placed
             # The order of customers changes only if something is placed or another job is first.
             while entries and entries[0].job is job and self._placed == placed:
                 entry = entries.popleft()
                 yield Turn(entry.job, entry.rank, (entry.unit,))
-            if not entries:
-                del waiting[customer]
-
-    def _choose_customer(self, waiting: Mapping[str, deque[_Entry]]) -> str:
-        """Return the customer whose first unit is next.
-
-        It is the one that holds least of its part, unless its unit loses nothing by letting work
-        go first that would otherwise be late.
-        """
-
-        def key(customer: str) -> tuple[int, Rank, str]:
-            assert self._shares is not None
-            return self._shares.level(customer), waiting[customer][0].rank, customer
-
-        first = min(waiting, key=key)
-        if not self._may_yield(waiting[first][0]):
-            return first
-        pressing = [c for c, entries in waiting.items() if self._has_last_chance(entries[0])]
-        return min(pressing, key=key, default=first)
-
-    def _may_yield(self, entry: _Entry) -> bool:
-        now = self._inputs.now
-        return (
-            entry.rank.latest_start - now > YIELD_SPARE_SECONDS
-            and now - entry.unit.waiting_since < MAX_YIELD_SECONDS
-        )
-
-    def _has_last_chance(self, entry: _Entry) -> bool:
-        return 0 <= entry.rank.latest_start - self._inputs.now < LAST_CHANCE_SECONDS
+            turns.set_head(customer, _head(entries))
 
     def _count_used(self) -> dict[str, Usage]:
         """Return what each customer's running work takes, with what this pass has placed."""
@@ -306,21 +278,25 @@
                 left[1] += entry.memory_mb - worker.used_memory
                 left[2] += worker.free_accelerators
         for service, by_customer in self._wanted.items():
-            total = [0, 0, 0]
+            total = [0.0, 0.0, 0.0]
             for customer, wanted in by_customer.items():
-                limit, used = self._quotas.quota(customer), self._quotas.usage(customer)
-                for n, amount in enumerate(_admitted(wanted, limit, used)):
-                    total[n] += amount
+                admitted = demand_within(
+                    wanted.amounts,
+                    used=self._quotas.usage(customer).amounts,
+                    limits=self._quotas.quota(customer).limits,
+                )
+                total = [t + a for t, a in zip(total, admitted, strict=True)]
             if any(t > f for t, f in zip(total, free[service], strict=True)):
                 return True
         return False
 
 
-def _admitted(wanted: Usage, limit: ResourceLimit, used: Usage) -> Iterator[int]:
-    """Yield the amount of each resource that is wanted and within a limit."""
-    most = (limit.cpu_millis, limit.memory_mb, limit.accelerators)
-    for amount, maximum, in_use in zip(wanted.amounts, most, used.amounts, strict=True):
-        yield min(amount, max(maximum - in_use, 0)) if maximum else amount
+def _head(entries: Sequence[_Entry]) -> Head | None:
+    """Return the first of a customer's entries as the turns see it, None if there is none."""
+    if not entries:
+        return None
+    entry = entries[0]
+    return Head(entry.rank, entry.rank.latest_start, entry.unit.waiting_since)
 
 
 def _capacity(workers: Iterable[Worker]) -> tuple[int, int, int]:
--- a/packages/dispatch/tests/test_shares.py
+++ b/packages/dispatch/tests/test_shares.py
@@ -6,7 +6,7 @@
 from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
-from zinniaweir.dispatch.shares import MAX_YIELD_SECONDS, SharePolicy
+from zinniaweir.dispatch.shares import TURN_LIMITS, SharePolicy
 from zinniaweir.workloads.queues import Customer, ResourceLimit
 from zinniaweir.workloads.spec import StepSpec
 
@@ -175,7 +175,7 @@
     cluster.add(job("patient", eight, customer="small", slack_factor=1.0, target_seconds=3.9))
     cluster.run(0.4)
     assert len(list(cluster.assignments("tight"))) == 8
-    cluster.run(MAX_YIELD_SECONDS)
+    cluster.run(TURN_LIMITS.wait_seconds)
     cluster.add(job("next", eight, customer="large", **tight | {"target_seconds": 0.6}))
     cluster.run(0.6)
     assert len(list(cluster.assignments("patient"))) == 8
--- a/packages/workloads/src/zinniaweir/workloads/queues.py
+++ b/packages/workloads/src/zinniaweir/workloads/queues.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from zinniaweir.workloads.shares import within_limits
+
 
 class QueueTerms(msgspec.Struct, frozen=True, kw_only=True):
     """Terms of a queue; a job keeps the terms under which it was accepted."""
@@ -50,13 +52,14 @@
         """Whether any resource is limited."""
         return bool(self.cpu_millis or self.memory_mb or self.accelerators)
 
+    @property
+    def limits(self) -> tuple[int | None, int | None, int | None]:
+        """Limits of processors, memory and accelerators, None for no limit."""
+        return self.cpu_millis or None, self.memory_mb or None, self.accelerators or None
+
     def admits(self, *, cpu_millis: int, memory_mb: int, accelerators: int) -> bool:
         """Return whether resources are within the limit."""
-        return (
-            (not self.cpu_millis or cpu_millis <= self.cpu_millis)
-            and (not self.memory_mb or memory_mb <= self.memory_mb)
-            and (not self.accelerators or accelerators <= self.accelerators)
-        )
+        return within_limits((cpu_millis, memory_mb, accelerators), self.limits)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/workloads/src/zinniaweir/workloads/shares.py
+++ b/packages/workloads/src/zinniaweir/workloads/shares.py
@@ -27,6 +27,27 @@
     return max((u / c for u, c in zip(used, capacity, strict=True) if c > 0), default=0.0)
 
 
+def within_limits(amounts: Sequence[float], limits: Sequence[float | None]) -> bool:
+    """Return whether amounts of resources are within limits, None for no limit."""
+    return all(m is None or a <= m for a, m in zip(amounts, limits, strict=True))
+
+
+def demand_within(
+    wanted: Sequence[float], *, used: Sequence[float], limits: Sequence[float | None]
+) -> list[float]:
+    """Return the amount of each resource that is wanted and may be used in addition.
+
+    Args:
+        wanted: Amount of each resource that waiting work wants.
+        used: Amount in use.
+        limits: Limits of wanted and used amounts together, None for no limit.
+    """
+    return [
+        w if m is None else min(w, max(m - u, 0))
+        for w, u, m in zip(wanted, used, limits, strict=True)
+    ]
+
+
 class CustomerShares:
     """Ratio of what each customer holds to its part of the capacity, 1 if the two are equal.
 
