settings, scheduler, core: quotas of cores and memory, and weights of customers

Cause: the product's own settings had a quota of accelerators and of running jobs only, and the core ordered the jobs of one priority by deadline and age with a small correction for accelerators in use.

Change: Quota gets cores and memory_gb, Customer gets weight; a quota below the guarantee and a weight that is not above 0 are refused. core/quotas.py keeps all limits. core/start_order.py holds the order of waiting jobs, which moved out of scheduler.py (1,134 to 1,118 lines): if weights are stated and the jobs of one priority want more than is free, the customer that holds least of its part is next, by the turns that dispatch uses. Otherwise the order is as before.

Result: packages/dispatch, settings, core, scheduler, workloads and docs pass. The tests of test_start_order.py were checked against six faults put into start_order.py; each makes one fail.

--- a/packages/core/src/zinniaweir/core/capacity.py
+++ b/packages/core/src/zinniaweir/core/capacity.py
@@ -9,6 +9,7 @@
 
 from zinniaweir.core._masks import longest_run
 from zinniaweir.core.nodes import Free
+from zinniaweir.core.shape import Amounts
 
 _NONE = Free(0, -1, -1)
 
@@ -35,6 +36,7 @@
         self._node_racks = node_racks
         self._rack_free = [0] * racks
         self._free: list[Free] = [_NONE] * len(node_domains)
+        self._free_cores = self._free_memory = 0
 
     def free(self, node: int) -> Free:
         """Return what is free on a node; no member fits if no gang may start there."""
@@ -48,6 +50,12 @@
         """Return the free accelerators of a failure domain."""
         return self._domains[domain].free_accelerators
 
+    @property
+    def total_free(self) -> Amounts:
+        """Free cores, bytes of memory and accelerators of all nodes."""
+        accelerators = sum(domain.free_accelerators for domain in self._domains)
+        return self._free_cores, self._free_memory, accelerators
+
     def update(self, node: int, free: Free | None) -> None:
         """Set what is free on a node, or None if no gang may start there."""
         free = free or _NONE
@@ -67,6 +75,8 @@
         change = free.mask.bit_count() - old.mask.bit_count()
         domain.free_accelerators += change
         self._rack_free[self._node_racks[node]] += change
+        self._free_cores += max(free.cores, 0) - max(old.cores, 0)
+        self._free_memory += max(free.memory_bytes, 0) - max(old.memory_bytes, 0)
         self._free[node] = free
 
     def candidates(self, domain: int, *, accelerators: int, cores: int) -> Iterator[int]:
--- a/packages/core/src/zinniaweir/core/scheduler.py
+++ b/packages/core/src/zinniaweir/core/scheduler.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-import math
 from collections import Counter, deque
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -68,6 +66,7 @@
     encode_state,
     gang_state,
 )
+from zinniaweir.core.start_order import StartOrder
 from zinniaweir.core.starts import StartPlanner
 from zinniaweir.core.timers import Timer, Timers
 from zinniaweir.core.topology import Topology
@@ -86,10 +85,6 @@
 """Wait before preemption for a job that is not urgent, because capacity may become free."""
 PREEMPTION_INTERVAL_SECONDS: Final = 5.0
 """Minimum time between preemption searches for the same gang."""
-PRIORITY_AGING_SECONDS: Final = 1800.0
-"""Wait after which a job is sorted with the next higher priority."""
-FAIR_SHARE_SECONDS: Final = 600.0
-"""The jobs of a customer that holds all accelerators are sorted as if submitted this much later."""
 THROTTLE_SHARE: Final = 0.5
 """Share of its processor time that a throttled task keeps."""
 STOP_RETRY_SECONDS: Final = 10.0
@@ -518,22 +513,28 @@
     def _schedule(self) -> None:
         """Start waiting gangs in order of rank until a limit of one call is reached."""
         self._more_work = False
-        heap = self._waiting.unblocked(self._capacity_version, self._rank)
-        heapq.heapify(heap)
+        order = StartOrder(
+            waiting=self._waiting,
+            gangs=self._gangs,
+            pool=self._pool,
+            quotas=self._quotas,
+            run_times=self._run_times,
+            covered=self._planner.fits_idle_allocation,
+            version=self._capacity_version,
+            now=self._now,
+        )
         starts = searches = preemption_searches = 0
-        while heap:
+        while (entry := order.pop()) is not None:
             if starts >= MAX_STARTS_PER_CALL or searches >= MAX_PLACEMENT_SEARCHES_PER_CALL:
                 self._more_work = True
                 return
-            _, number, waiting_class = heapq.heappop(heap)
+            number, waiting_class = entry
             gang = self._gangs[waiting_class.head]
             if gang.cancelled:
                 # Its cancellation may still be queued, but it must not start.
                 searches += 1
                 self._finish(gang, "cancelled", Reason.CANCELLED)
-                if waiting_class.entries:
-                    rank = self._rank(waiting_class.head)
-                    heapq.heappush(heap, (rank, number, waiting_class))
+                order.push_back(number, waiting_class)
                 continue
             if not self._quotas.allows(gang.job):
                 waiting_class.blocked_version = self._capacity_version
@@ -556,9 +557,8 @@
                 continue
             starts += 1
             self._commit_plan(gang, plan)
-            if waiting_class.entries:
-                rank = self._rank(waiting_class.head)
-                heapq.heappush(heap, (rank, number, waiting_class))
+            order.count_placed(gang.job)
+            order.push_back(number, waiting_class)
 
     def _plan_preemption(
         self, gang: Gang, closed_domains: frozenset[int], allowed: Callable[[int], bool] | None
@@ -588,20 +588,6 @@
         gang.next_preemption_at = self._now + PREEMPTION_INTERVAL_SECONDS
         return True
 
-    def _rank(self, job_id: str) -> tuple:
-        """Return the sort key of a waiting job: priority, deadline, age and customer share.
-
-        A long wait raises the priority in this order, so that no job starves; it gives no right
-        to preempt.
-        """
-        gang = self._gangs[job_id]
-        job = gang.job
-        raised_levels = int((self._now - job.submitted_at) / PRIORITY_AGING_SECONDS)
-        priority = max(PRIORITIES.index(job.priority) - raised_levels, 0)
-        deadline = math.inf if job.deadline is None else job.deadline
-        share = self._quotas.accelerators(job.customer) / self._total_accelerators
-        return (priority, deadline, job.submitted_at + FAIR_SHARE_SECONDS * share, job_id)
-
     def _commit_plan(self, gang: Gang, plan: StartPlan) -> None:
         """Assign the planned slots to a gang and start it, if need be after its victims ended."""
         self._waiting.discard(gang)
@@ -1123,8 +1109,6 @@
         return gang if gang is not None and gang.attempt == attempt else None
 
     def _make_planners(self) -> None:
-        accelerators = sum(worker.accelerators for worker in self._topology.workers)
-        self._total_accelerators = max(accelerators, 1)
         self._planner = StartPlanner(
             pool=self._pool, allocations=self._coverage.by_customer, gangs=self._gangs
         )
--- a/packages/core/src/zinniaweir/core/settings.py
+++ b/packages/core/src/zinniaweir/core/settings.py
@@ -10,11 +10,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Customer:
-    """Quotas and permitted priorities of a customer."""
+    """Quotas, weight and permitted priorities of a customer."""
 
     name: str
+    quota_cores: int | None = None
+    quota_memory_bytes: int | None = None
     quota_accelerators: int | None = None
     quota_running_jobs: int | None = None
+    weight: float | None = None
+    """Share in relation to other customers while capacity is short, None if not stated."""
     priorities: tuple[Priority, ...] = PRIORITIES
 
 
--- a/packages/core/src/zinniaweir/core/shape.py
+++ b/packages/core/src/zinniaweir/core/shape.py
@@ -6,6 +6,8 @@
 from typing import Literal, TypeAlias
 
 Spread: TypeAlias = Literal["worker", "rack", "failure_domain", "region"]
+Amounts: TypeAlias = tuple[int, int, int]
+"""Cores, bytes of memory and accelerators."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,6 +27,12 @@
         """Accelerators of all members."""
         return self.members * self.accelerators
 
+    @property
+    def amounts(self) -> Amounts:
+        """What all members need together."""
+        members = self.members
+        return members * self.cores, members * self.memory_bytes, self.total_accelerators
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Guarantee:
--- a/packages/core/src/zinniaweir/core/starts.py
+++ b/packages/core/src/zinniaweir/core/starts.py
@@ -81,6 +81,16 @@
                 return True
         return False
 
+    def fits_idle_allocation(self, gang: Gang) -> bool:
+        """Return whether an allocation of the customer holds the gang beside its other gangs."""
+        for allocation in self._allocations.get(gang.job.customer, ()):
+            if allocation.slots is None:
+                continue
+            rest = allocation.remaining()
+            if self._cut_from_allocation(gang.job.shape, allocation, rest, rest) is not None:
+                return True
+        return False
+
     def _workers_of_suspects(self, gang: Gang) -> frozenset[str]:
         """Return the workers of gangs that were lost together with a gang.
 
--- a/packages/core/src/zinniaweir/core/topology_index.py
+++ b/packages/core/src/zinniaweir/core/topology_index.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from zinniaweir.core.shape import Amounts
 from zinniaweir.core.topology import Topology
 
 
@@ -10,6 +11,11 @@
 
     def __init__(self, topology: Topology) -> None:
         self.workers = tuple(sorted(topology.workers, key=lambda w: (w.failure_domain, w.rack)))
+        self.capacity: Amounts = (
+            sum(worker.cores for worker in self.workers),
+            sum(worker.memory_bytes for worker in self.workers),
+            sum(worker.accelerators for worker in self.workers),
+        )
         self.domain_names = _names(w.failure_domain for w in self.workers)
         rack_keys = _names((w.failure_domain, w.rack) for w in self.workers)
         region_names = _names(w.region for w in self.workers)
--- a/packages/core/tests/test_random_events.py
+++ b/packages/core/tests/test_random_events.py
@@ -43,7 +43,10 @@
     guarantees=(Guarantee(customer="a", shape=SHAPES[2], count=2),),
 )
 CHANGED = Settings(
-    customers=BASE.customers,
+    customers=(
+        Customer(name="a", weight=2.0),
+        Customer(name="b", quota_accelerators=12, quota_cores=20, weight=1.0),
+    ),
     guarantees=(
         Guarantee(customer="b", shape=SHAPES[1], failure_domain="n"),
         Guarantee(customer="a", shape=SHAPES[2], count=1),
--- a/packages/scheduler/src/zinniaweir/scheduler/core_inputs.py
+++ b/packages/scheduler/src/zinniaweir/scheduler/core_inputs.py
@@ -69,8 +69,11 @@
         customers=tuple(
             Customer(
                 name=name,
+                quota_cores=customer.quota.cores,
+                quota_memory_bytes=_bytes(customer.quota.memory_gb),
                 quota_accelerators=customer.quota.accelerators,
                 quota_running_jobs=customer.quota.running_jobs,
+                weight=customer.weight,
                 priorities=customer.priorities,
             )
             for name, customer in settings.customers.items()
@@ -91,6 +94,10 @@
     )
 
 
+def _bytes(gigabytes: float | None) -> int | None:
+    return None if gigabytes is None else int(gigabytes * BYTES_PER_GB)
+
+
 def core_job(job: JobEntry) -> Job:
     """Return a job in the form that the core uses."""
     spec = job.spec
--- a/packages/settings/src/zinniaweir/settings/checks.py
+++ b/packages/settings/src/zinniaweir/settings/checks.py
@@ -219,10 +219,14 @@
 
 def _quota_problems(customer: Customer, path: str) -> Iterator[Problem]:
     quota = customer.quota
-    guaranteed = sum(g.members * g.accelerators * g.count for g in customer.guarantees)
-    if quota.accelerators is not None and quota.accelerators < guaranteed:
-        rule = f"at least the guaranteed accelerators ({guaranteed})"
-        yield problem(f"{path}/accelerators", quota.accelerators, rule)
+    for name in ("accelerators", "cores", "memory_gb"):
+        most = getattr(quota, name)
+        # Sums of decimal fractions of a gigabyte are off in the last digits.
+        guaranteed = round(
+            sum(g.members * getattr(g, name) * g.count for g in customer.guarantees), 6
+        )
+        if most is not None and most < guaranteed:
+            yield problem(f"{path}/{name}", most, f"at least the guaranteed {name} ({guaranteed})")
     gangs = sum(g.count for g in customer.guarantees)
     if quota.running_jobs is not None and quota.running_jobs < gangs:
         rule = f"at least the guaranteed jobs ({gangs})"
--- a/packages/settings/src/zinniaweir/settings/model.py
+++ b/packages/settings/src/zinniaweir/settings/model.py
@@ -122,6 +122,9 @@
     """Maximum that a customer may use at a time; null means no quota."""
 
     accelerators: Annotated[int, Meta(ge=0, le=1_000_000)] | None = None
+    cores: Annotated[int, Meta(ge=0, le=100_000_000)] | None = None
+    memory_gb: Annotated[float, Meta(ge=0, le=1_000_000_000)] | None = None
+    """Memory in gigabytes."""
     running_jobs: Annotated[int, Meta(ge=0, le=1_000_000)] | None = None
 
 
@@ -136,6 +139,8 @@
     guarantees: tuple[Guarantee, ...] = ()
     limits: Limits = Limits()
     quota: Quota = Quota()
+    weight: Annotated[float, Meta(gt=0, le=1_000_000)] | None = None
+    """Share in relation to other customers while capacity is short; null means not stated."""
     priorities: tuple[Priority, ...] = PRIORITIES
     """Priorities that the customer may use."""
 
--- a/packages/settings/tests/test_settings_checks.py
+++ b/packages/settings/tests/test_settings_checks.py
@@ -73,6 +73,19 @@
         {"guarantees": [GUARANTEE], "quota": {"accelerators": 15, "running_jobs": 1}},
         "customers/b/quota/accelerators",
     ),
+    ("customers/b/weight", 0, "customers/b/weight"),
+    ("customers/b/weight", float("inf"), "customers/b/weight"),
+    ("customers/b/quota/cores", 1.5, "customers/b/quota/cores"),
+    (
+        "customers/b",
+        {"guarantees": [GUARANTEE | {"cores": 4}], "quota": {"cores": 7}},
+        "customers/b/quota/cores",
+    ),
+    (
+        "customers/b",
+        {"guarantees": [GUARANTEE | {"memory_gb": 0.1}], "quota": {"memory_gb": 0.19}},
+        "customers/b/quota/memory_gb",
+    ),
     (
         "customers/b/guarantees",
         [{**GUARANTEE, "failure_domain": "x"}],
--- a/packages/settings/tests/test_settings_sequences.py
+++ b/packages/settings/tests/test_settings_sequences.py
@@ -41,7 +41,8 @@
     ("customers/a", [{}, {"aliases": ["b"]}, {"guarantees": [GUARANTEE]}, None]),
     ("customers/b", [{}, {"aliases": ["x"]}, {"guarantees": [GUARANTEE] * 2}, None]),
     ("customers/b/guarantees", [[{**GUARANTEE, "failure_domain": "fd1"}], []]),
-    ("customers/a/quota", [{"accelerators": 1}, {}]),
+    ("customers/a/quota", [{"accelerators": 1}, {"cores": 1}, {}]),
+    ("customers/a/weight", [2.5, 0, None]),
     ("customers", [{"a": {"aliases": ["x"]}, "b": {}}, {"b": {"guarantees": [GUARANTEE]}}, {}]),
     ("", [{"topology": {"failure_domains": FAILURE_DOMAINS}, "customers": {"a": {}}}]),
 ]
