--- a/packages/dispatch/tests/test_speed_placement.py
+++ b/packages/dispatch/tests/test_speed_placement.py
@@ -57,9 +57,10 @@
 def test_failures_and_home_rack_come_before_speed() -> None:
     """Guards against fast workers that fail their runs, or are far from the data."""
     failed = {"a1": 2, "a3": 2}
-    assert choose(
-        unit_of(2, priority=0), MIXED, penalty=lambda name: failed.get(name, 0)
-    ) == ["a0", "a2"]
+    assert choose(unit_of(2, priority=0), MIXED, penalty=lambda name: failed.get(name, 0)) == [
+        "a0",
+        "a2",
+    ]
     home = unit_of(2, priority=0, home_rack="b")
     assert choose(home, {"a0": 4, "a1": 4, "b0": 0, "b1": 0, "b2": -1}) == ["b0", "b1"]
 
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -38,6 +38,12 @@
     "reloaded": "a changed settings file was read",
     "retry_delayed": "a failed task or gang waits, since workers fail what they start",
     "rows_ignored": "rows of a worker's list, or parts of them, could not be read; the others hold",
+    "share_order_began": (
+        "a band of waiting work is ordered by the shares of customers (`place`, `cause`)"
+    ),
+    "share_order_ended": (
+        "capacity suffices for a band again, its order is that of the latest starts"
+    ),
     "start_after_notice": "a run may have begun after its worker said that it drains",
     "start_unanswered": "a start brought no answer and is sent again",
     "started": "the process serves",
