dispatch: victims that a stop makes late, or whose siblings were stopped, go last

A batch job near its objective was as likely to be stopped as one with time to spare, and a burst hit the tasks of one job, which began together.

The cost of a victim now counts whether the stop makes it late and whether a unit of its job was just preempted.

--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -11,7 +11,7 @@
 from zinniaweir.dispatch.guarantees import covered_jobs
 from zinniaweir.dispatch.headroom import Headroom
 from zinniaweir.dispatch.health import WorkerHealth
-from zinniaweir.dispatch.ordering import Rank, rank
+from zinniaweir.dispatch.ordering import Rank, objective_seconds, rank
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
@@ -24,6 +24,8 @@
 """Time to record and start a placement, while the view must stay recent enough for the start."""
 EXPECTED_STOP_SECONDS: Final = 0.6
 """Expected time until a stopped or overdue task has ended."""
+EXPECTED_PREEMPTION_SECONDS: Final = 3.0
+"""Expected time until a preempted unit runs again; an urgent gang takes about as long."""
 IDLE_QUOTA_SHARE: Final = 0.5
 """A customer with less than this share of its quota in use has room for other work."""
 
@@ -240,6 +242,20 @@
             return now + elapsed / assignment.percent * (100 - assignment.percent)
         return now + max(expected - elapsed, EXPECTED_STOP_SECONDS)
 
+    def late_if_stopped(self, unit: Unit, now: float) -> bool:
+        """Return whether a unit in time is late if it is stopped now and runs again."""
+        running = [a for a in unit.assignments.values() if not a.stop_reason]
+        end = max((self.expected_end(assignment, now) for assignment in running), default=now)
+        deadline = unit.job.accepted_at + objective_seconds(unit.job, self._run_times)
+        if end > deadline:
+            return False
+        lost = 0.0
+        if not unit.step.checkpointing:
+            lost = max(
+                (now - a.started_at for a in running if a.started_at is not None), default=0.0
+            )
+        return end + lost + EXPECTED_PREEMPTION_SECONDS > deadline
+
     def quota_idle_since(self, customer: str) -> float:
         """Return since when most of a customer's quota is idle, in seconds; infinity if not."""
         return self._quota_idle_since.get(customer, float("inf"))
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -53,8 +53,6 @@
 """
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
-MUST_START_SOON_BAND: Final = 1
-"""Band of work that is late unless it starts soon; it may use what is kept for urgent work."""
 LARGE_TASK_SHARE: Final = 0.5
 """A single task that needs more than this share of a worker gets a reservation."""
 
@@ -65,6 +63,9 @@
     def expected_end(self, assignment: Assignment, now: float) -> float:
         """Return when an assignment is expected to end, in seconds."""
 
+    def late_if_stopped(self, unit: Unit, now: float) -> bool:
+        """Return whether a unit in time is late if it is stopped now and runs again."""
+
     def claim_workers(self, unit: Unit, workers: Iterable[str], *, until: float) -> None:
         """Claim workers for a unit, for which work on them is preempted."""
 
@@ -129,7 +130,10 @@
         self._run_times = run_times
         self._reporter = reporter
         self._usable = context.usable
-        self._evictions = EvictionSearch(now=context.now)
+        self._evictions = EvictionSearch(
+            now=context.now,
+            late_if_stopped=lambda unit: planner_state.late_if_stopped(unit, context.now),
+        )
         self._kept_workers = KeptWorkers(
             headroom=context.headroom, workers=context.usable, now=context.now
         )
@@ -158,7 +162,7 @@
         """
         if self._waits_for_sibling(unit) or self._waits_for_quota(unit, rank, covered=covered):
             return
-        kept = self._kept_from(unit, rank)
+        kept = self._kept_from(unit)
         if kept and self._now < unit.preemptions.restart_at:
             self._report_wait(unit, rank, set(), covered=covered, reason="headroom")
             return
@@ -198,11 +202,8 @@
             self._preempt_for(unit, rank, excluded, spread_allowed=spread_allowed, covered=covered)
         self._reserve_capacity(unit, rank, spread_allowed)
 
-    def _kept_from(self, unit: Unit, rank: Rank) -> frozenset[str]:
+    def _kept_from(self, unit: Unit) -> frozenset[str]:
         """Return the workers that are kept for urgent work and closed to a unit."""
-        must_start_soon = rank.band == MUST_START_SOON_BAND
-        if must_start_soon and not unit.preemptions.is_recent(self._now):
-            return frozenset()
         if self._idle and self._has_waited_without_running(unit, MAX_RESERVATION_WAIT_SECONDS):
             return frozenset()
         return self._kept_workers.closed_to(unit)
--- a/packages/dispatch/src/zinniaweir/dispatch/preemption.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/preemption.py
@@ -25,8 +25,11 @@
 """Cost of each stopped unit in core-seconds, so that one stop is preferred to ten small ones."""
 REPEAT_COST_SECONDS: Final = 1.0
 """Cost of each earlier preemption of a unit, in seconds of its tasks."""
-SIBLING_COST_SECONDS: Final = 0.0
-"""Cost of a recent preemption in the same job, in seconds of the unit's tasks."""
+SIBLING_COST_SECONDS: Final = 0.5
+"""Cost of a recent preemption in the same job, in seconds of the unit's tasks.
+
+Otherwise a burst of urgent gangs hits one batch job only, as its tasks began together.
+"""
 PREEMPTION_INTERVAL_SECONDS: Final = 1.2
 """Minimum interval between preemptions for one unit; a stop takes up to 0.9 s."""
 PREEMPTION_SEARCH_INTERVAL_SECONDS: Final = 0.15
@@ -39,6 +42,8 @@
 
 Applies to urgent work beyond a guarantee. Other work has seconds to spare, urgent work has none.
 """
+LATE_COST_SECONDS: Final = 8.0
+"""Cost of making a unit late, in seconds of its tasks."""
 GANG_COST_FACTOR: Final = 2.0
 """Factor on the cost of stopping work of a priority before batch work."""
 
@@ -159,10 +164,12 @@
 
     Args:
         now: Current time in seconds.
+        late_if_stopped: Returns whether a unit in time is late if it is stopped.
     """
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, now: float, late_if_stopped: Callable[[Unit], bool]) -> None:
         self._now = now
+        self._late_if_stopped = late_if_stopped
         self._costs: dict[Unit, float] = {}
         self._options: dict[_Purpose, dict[str, tuple[int, tuple[_Option, ...]]]] = {}
         """Options by worker, with the number of its assignments when they were computed."""
@@ -265,7 +272,10 @@
     def _cost_of(self, unit: Unit) -> float:
         cost = self._costs.get(unit)
         if cost is None:
-            cost = self._costs[unit] = lost_core_seconds_of(unit, now=self._now)
+            cost = lost_core_seconds_of(unit, now=self._now)
+            if self._late_if_stopped(unit):
+                cost += LATE_COST_SECONDS * unit_cores(unit)
+            self._costs[unit] = cost
         return cost
 
     def _find_options(
@@ -286,17 +296,24 @@
         count = free.fits(purpose.demand)
         found = [_Option(count=count, units=(), cost=0.0)] if count else []
         order = sorted(victims, key=lambda v: self._cost_of(v) / (victims[v] * _weight(v.demand)))
+        alike = len({(victim.demand, tasks) for victim, tasks in victims.items()}) == 1
         chosen: list[Unit] = []
+        cost = 0.0
         for victim in order:
             chosen.append(victim)
+            cost += self._cost_of(victim)
             free.add(victim.demand, victims[victim])
             fits = free.fits(purpose.demand)
             if fits <= count:
                 continue
             count = fits
+            if alike:
+                # Each one frees the same, so all of them are needed.
+                found.append(_Option(count=count, units=tuple(chosen), cost=cost))
+                continue
             needed = _without_surplus(chosen, victims, free, purpose.demand, count, self._cost_of)
-            cost = sum(self._cost_of(u) for u in needed)
-            found.append(_Option(count=count, units=tuple(needed), cost=cost))
+            needed_cost = sum(self._cost_of(u) for u in needed)
+            found.append(_Option(count=count, units=tuple(needed), cost=needed_cost))
         return tuple(found)
 
 
