dispatch: learned speeds cost less, and a worker's former machine tells nothing

A step that still held durations of a worker's former machine would have discarded the speed of the one that has its name now. Runs off their home rack counted as slow.

Steps are compared each 0.4 s, expected durations are kept by unit for one pass, and speeds are kept ready. Observations belong to the machine that made them, and runs off their home rack are left out.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -462,7 +462,7 @@
             return
         self._runs.changed, self._planned_at = False, now
         self._expiry.apply(now)
-        self._speeds.refresh()
+        self._speeds.refresh(now=now)
         self._hold_units_with_late_starts(now)
         for unit in units_to_move(
             self._fleet,
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -82,6 +82,9 @@
         self._jobs_read_at = float("-inf")
         self._claims: dict[str, _WorkerClaim] = {}
         self._set_aside: set[str] = set()
+        self._expected: dict[Unit, float] = {}
+        """Expected durations of running units at one time, since members of a gang share them."""
+        self._expected_at = float("-inf")
 
     def configure(self, configuration: Configuration, evacuated: frozenset[str]) -> None:
         """Apply the operators' settings.
@@ -229,26 +232,31 @@
             return now + EXPECTED_STOP_SECONDS
         percent = assignment.percent
         if assignment.started_at is None:
-            return now + self._expected_seconds(assignment)
+            return now + self._expected_seconds(assignment, now)
         elapsed = now - assignment.started_at
         if assignment.inherited or assignment.unit.run_checkpoint:
             # The run began before `started_at`, or with part of its work done.
-            return now + self._expected_seconds(assignment) * (100 - percent) / 100
+            return now + self._expected_seconds(assignment, now) * (100 - percent) / 100
         if percent >= TRUSTED_PERCENT:
             return now + elapsed / percent * (100 - percent)
-        left = max(self._expected_seconds(assignment) - elapsed, EXPECTED_STOP_SECONDS)
+        left = max(self._expected_seconds(assignment, now) - elapsed, EXPECTED_STOP_SECONDS)
         if percent > 0:
             # Few percent tell little, since they are whole numbers and starts take time.
             trust = percent / TRUSTED_PERCENT
             left = trust * elapsed / percent * (100 - percent) + (1 - trust) * left
         return now + left
 
-    def _expected_seconds(self, assignment: Assignment) -> float:
+    def _expected_seconds(self, assignment: Assignment, now: float) -> float:
         """Return the expected duration of a whole run on its workers in seconds."""
         unit = assignment.unit
-        members = unit.assignments.values()
-        speed = self._speeds.slowest(self._fleet.get(member.worker) for member in members)
-        return self._run_times.expect(unit.job, unit.step) / speed
+        if now != self._expected_at:
+            self._expected_at, self._expected = now, {}
+        expected = self._expected.get(unit)
+        if expected is None:
+            members = unit.assignments.values()
+            speed = self._speeds.slowest(self._fleet.get(member.worker) for member in members)
+            expected = self._expected[unit] = self._run_times.expect(unit.job, unit.step) / speed
+        return expected
 
     def quota_idle_since(self, customer: str) -> float:
         """Return since when most of a customer's quota is idle, in seconds; infinity if not."""
--- a/packages/dispatch/src/zinniaweir/dispatch/worker_speed.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/worker_speed.py
@@ -52,7 +52,9 @@
 """Number of tasks of a step whose durations are kept."""
 MAX_WORKERS: Final = 4_096
 """Number of workers whose speeds are kept."""
-REFRESH_TASKS: Final = 400
+REFRESH_INTERVAL_SECONDS: Final = 0.4
+"""Minimum time between two comparisons of the steps that changed."""
+REFRESH_TASKS: Final = 1_000
 """Number of tasks of changed steps after which a refresh stops; the next one continues.
 
 Bounds the time that a planning pass takes.
@@ -78,15 +80,15 @@
     incarnation: int
     kind: tuple[object, ...]
     samples: dict[StepKey, _StepSample] = field(default_factory=dict)
-    log_speed: float = 0.0
     level: int = 0
+    speed: float = 1.0
 
     def update(self) -> None:
         """Compute the speed and its level from the samples."""
         samples = self.samples.values()
         # Of an even number the faster one counts: a worker may be slowed down for some seconds.
-        self.log_speed = median_high(s.log_speed for s in samples) if samples else 0.0
-        target = self.log_speed
+        target = median_high(s.log_speed for s in samples) if samples else 0.0
+        self.speed = math.exp(target)
         unsure = target < 0 and len(samples) < MIN_STEPS_OF_SLOW
         if unsure or sum(s.tasks for s in samples) < MIN_TASKS:
             target = 0.0
@@ -114,25 +116,24 @@
         self._steps: dict[StepKey, dict[int, _Observation | None]] = {}
         self._changed_steps: dict[StepKey, None] = {}
         self._states: dict[str, _WorkerState] = {}
-        self._deviating = 0
+        self._deviating: dict[str, _WorkerState] = {}
+        """States of the workers that are known not to have the usual speed."""
+        self._refreshed_at = float("-inf")
 
     @property
     def differ(self) -> bool:
         """Whether any worker is known not to have the usual speed."""
-        return self._deviating > 0
+        return bool(self._deviating)
 
     def level(self, worker: Worker) -> int:
         """Return the speed level of a worker: 0 is usual, higher is faster."""
-        state = self._states.get(worker.name)
-        if state is None or not state.level or not _same_machine(state, worker):
-            return 0
-        return state.level
+        state = self._deviating.get(worker.name)
+        return state.level if state is not None and _same_machine(state, worker) else 0
 
     def speed(self, worker: Worker) -> float:
         """Return the relative speed of a worker, by which durations are divided."""
-        if not self.level(worker):
-            return 1.0
-        return math.exp(self._states[worker.name].log_speed)
+        state = self._deviating.get(worker.name)
+        return state.speed if state is not None and _same_machine(state, worker) else 1.0
 
     def slowest(self, workers: Iterable[Worker | None]) -> float:
         """Return the speed of the slowest of some workers, at which a gang on them runs.
@@ -173,8 +174,15 @@
         if tasks.get(assignment.index, assignment) is not None:
             self._add_observation(assignment, tasks, None)
 
-    def refresh(self) -> None:
-        """Update the speeds of workers from the steps that changed, within a bounded time."""
+    def refresh(self, *, now: float) -> None:
+        """Update the speeds of workers from the steps that changed, within a bounded time.
+
+        Args:
+            now: Current time in seconds.
+        """
+        if now - self._refreshed_at < REFRESH_INTERVAL_SECONDS:
+            return
+        self._refreshed_at = now
         examined = 0
         while self._changed_steps and examined < REFRESH_TASKS:
             key = next(iter(self._changed_steps))
@@ -186,6 +194,10 @@
     def _record(self, worker: Worker, assignment: Assignment, *, percent: int, now: float) -> None:
         if not _comparable(assignment) or assignment.started_at is None:
             return
+        home_rack = assignment.unit.step.home_rack
+        if home_rack and worker.entry.rack != home_rack:
+            # It is slow since its data is far away.
+            return
         elapsed = now - assignment.started_at
         if elapsed < MIN_ELAPSED_SECONDS:
             return
@@ -198,6 +210,7 @@
             due = min(known.percent + PERCENT_STEP, 100)
             if known.worker.name == worker.name and percent < due:
                 return
+        self._note_machine(worker)
         log_seconds = math.log(elapsed * 100 / percent)
         self._add_observation(assignment, tasks, _Observation(worker, log_seconds, percent))
 
@@ -254,15 +267,8 @@
     def _update_worker(self, worker: Worker, key: StepKey, sample: _StepSample | None) -> None:
         state = self._states.get(worker.name)
         if state is None or not _same_machine(state, worker):
-            if sample is None:
-                return
-            if state is not None:
-                self._forget(worker.name)
-            state = _WorkerState(incarnation=worker.incarnation, kind=_kind_of(worker))
-            self._states[worker.name] = state
-            if len(self._states) > MAX_WORKERS:
-                self._forget(next(iter(self._states)))
-        state.incarnation, state.kind = worker.incarnation, _kind_of(worker)
+            # Another machine has its name now.
+            return
         if sample is None:
             state.samples.pop(key, None)
         else:
@@ -272,7 +278,9 @@
         level = state.level
         state.update()
         if state.level != level:
-            self._deviating += bool(state.level) - bool(level)
+            self._deviating.pop(worker.name, None)
+            if state.level:
+                self._deviating[worker.name] = state
             self._count("speeds_learned", _describe(state.level))
             self._log(
                 "worker_speed_learned",
@@ -282,9 +290,24 @@
                 tasks=sum(s.tasks for s in state.samples.values()),
             )
 
+    def _note_machine(self, worker: Worker) -> None:
+        """Keep what is known about a worker, unless it is another machine now."""
+        state = self._states.get(worker.name)
+        if state is not None and state.incarnation == worker.incarnation:
+            return
+        kind = _kind_of(worker)
+        if state is not None and state.kind == kind:
+            state.incarnation = worker.incarnation
+            return
+        if state is not None:
+            self._forget(worker.name)
+        self._states[worker.name] = _WorkerState(incarnation=worker.incarnation, kind=kind)
+        if len(self._states) > MAX_WORKERS:
+            self._forget(next(iter(self._states)))
+
     def _forget(self, name: str) -> None:
-        state = self._states.pop(name)
-        self._deviating -= bool(state.level)
+        del self._states[name]
+        self._deviating.pop(name, None)
 
 
 def _comparable(assignment: Assignment) -> bool:
--- a/packages/dispatch/tests/test_worker_speed.py
+++ b/packages/dispatch/tests/test_worker_speed.py
@@ -14,7 +14,7 @@
 from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 from zinniaweir.workloads.spec import StepSpec
 
-from .conftest import job, worker_entry
+from .conftest import Cluster, FakeRun, FakeWorker, job, worker_entry
 
 FLEET = [f"w{n}" for n in range(10)]
 ALIKE = dict.fromkeys(FLEET, 1.0)
@@ -28,6 +28,7 @@
         self.learned = WorkerSpeeds(reporter=self)
         self.workers = {name: Worker(entry=worker_entry(name)) for name in FLEET}
         self.random = random.Random(1)
+        self.now = 0.0
 
     def log(self, event: str, **fields: Any) -> None:
         self.events.append((event, fields))
@@ -50,10 +51,15 @@
             job_id: Id of the job.
             speeds: True speeds of the workers.
             tasks: Number of tasks on each worker.
-            **options: `percent` at which the tasks are observed, 100 by default, `gang`, and
-                `spread`, the deviation of the logarithms of their lengths.
+            **options: `percent` at which the tasks are observed, 100 by default, `gang`,
+                `home_rack`, and `spread`, the deviation of the logarithms of their lengths.
         """
-        step = StepSpec(count=tasks * len(speeds), accelerators=1, gang=options.get("gang", False))
+        step = StepSpec(
+            count=tasks * len(speeds),
+            accelerators=1,
+            gang=options.get("gang", False),
+            home_rack=options.get("home_rack", ""),
+        )
         owned = OwnedJob(job(job_id, step), now=0.0)
         percent = options.get("percent", 100)
         for index in range(step.count):
@@ -67,7 +73,8 @@
             now = seconds / speeds[name] * percent / 100
             record = self.learned.record_end if percent == 100 else self.learned.record_progress
             record(self.workers[name], assignment, now=now)
-        self.learned.refresh()
+        self.now += 10.0
+        self.learned.refresh(now=self.now)
 
 
 @pytest.mark.parametrize("percent", [40, 100])
@@ -151,6 +158,15 @@
     assert not speeds.levels()
 
 
+def test_worker_far_from_the_data_is_not_slow() -> None:
+    """Guards against workers that count as slow since a step's data was on another rack."""
+    speeds = Speeds()
+    speeds.workers["w1"] = Worker(entry=worker_entry("w1", rack="r9-9"))
+    for n in range(4):
+        speeds.run_step(f"sweep{n}", ALIKE | {"w1": 0.5}, home_rack="r1-1")
+    assert not speeds.levels()
+
+
 def test_speed_outlasts_a_restart_but_not_a_change_of_the_machine() -> None:
     """Guards against speeds that a restart discards, or that another machine inherits."""
     speeds = Speeds()
@@ -179,13 +195,56 @@
         speeds.learned, "_compare", lambda k, o: (compared.append(len(o)), compare(k, o))
     )
     refresh = speeds.learned.refresh
-    monkeypatch.setattr(speeds.learned, "refresh", lambda: None)
+    monkeypatch.setattr(speeds.learned, "refresh", lambda *, now: None)
     for n in range(30):
         speeds.run_step(f"sweep{n}", ALIKE | {"w1": 2.0})
-    refresh()
+    refresh(now=0.0)
+    refresh(now=0.1)
     assert compared == [16, 16]
-    for _ in range(8):
-        refresh()
+    for n in range(8):
+        refresh(now=1.0 + n)
     assert len(compared) == 8
     assert len(speeds.learned._steps) <= 8
     assert len(speeds.learned._states) <= 4
+
+
+class UnequalCluster(Cluster):
+    """Workers of which some take half of the time."""
+
+    fast = ("r0w1", "r0w6")
+
+    def seconds_of(self, assignment: Assignment) -> float:
+        members = {a.worker for a in assignment.unit.assignments.values()} | {assignment.worker}
+        return 4.0 if members <= set(self.fast) else 8.0
+
+    def start(self, assignment: Assignment) -> None:
+        super().start(assignment)
+        run = self.workers[assignment.worker].runs.get((assignment.task, assignment.run))
+        if run is not None:
+            run.ends_at = self.now + self.seconds_of(assignment)
+
+    def percent(self, fake: FakeWorker, run: FakeRun) -> int:
+        left = (run.ends_at - self.now) / self.seconds_of(run.assignment)
+        return max(1, min(99, int(100 - 100 * left)))
+
+
+def test_urgent_gang_after_batch_work_gets_the_fast_workers() -> None:
+    """Guards against urgent gangs on usual workers while fast ones are free or run batch work.
+
+    Two batch steps tell the speeds; the gang comes when all workers are free again.
+    """
+    cluster = UnequalCluster(*(worker_entry(f"r0w{n}") for n in range(8)))
+    step = StepSpec(count=32, accelerators=2, estimate_ms=8_000)
+    for n in range(2):
+        cluster.add(job(f"sweep{n}", step, name="sweeps", priority=2))
+        cluster.run(9.0)
+    learned = {f["worker"] for e, f in cluster.events if e == "worker_speed_learned"}
+    assert learned == set(cluster.fast)
+    gang = StepSpec(count=2, accelerators=8, gang=True, estimate_ms=8_000)
+    cluster.add(job("urgent", gang, name="checks", priority=0))
+    cluster.run(0.3)
+    assert {a.worker for a in cluster.assignments("urgent")} == set(cluster.fast)
+    cluster.add(job("patient", gang, name="traces", priority=1))
+    cluster.run(4.5)
+    assert cluster.state("urgent") == "complete"
+    assert not {a.worker for a in cluster.assignments("patient")} & set(cluster.fast)
