--- a/packages/dispatch/src/zinniaweir/dispatch/ordering.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/ordering.py
@@ -19,6 +19,10 @@
 """Work that must start within this time to be in time ranks before late urgent work."""
 
 
+RANK_DIGITS: Final = 3
+"""Decimal places of the latest start; rounding errors do not order jobs that came together."""
+
+
 class Rank(NamedTuple):
     """Sort key of waiting jobs; lower ranks are placed first."""
 
@@ -70,7 +74,7 @@
     needed = critical_path_seconds(job, run_times, remaining=True) + OVERHEAD_SECONDS
     allowed_seconds = objective_seconds(job, run_times)
     for lateness, factor in enumerate((1.0, MAX_LATENESS_FACTOR)):
-        latest_start = job.accepted_at + factor * allowed_seconds - needed
+        latest_start = round(job.accepted_at + factor * allowed_seconds - needed, RANK_DIGITS)
         if now <= latest_start:
             return Rank(_band(job, lateness, latest_start - now), latest_start, lateness)
     return Rank(5, job.accepted_at, 2)
