platform: ports stay within the memory and descriptors of their machine

Each connection held up to a whole body, 128 KB of input ahead and headers at a hundred times their size, without a common limit, and a connection whose next request was already there never let the event loop go: 60 clients that sent 20,000 requests ahead kept it for 2.6 s, the view of the log was too old, and ordinary jobs got 503.

admission.py decides without sockets: a budget of bytes that all connections of a port share, a bound on connections in all and for each address, and a minimum rate over a request or an answer. The connection that held most for longest is closed first, never one whose handler runs. Ports for callers and for other VMs have budgets of their own. turns.py processes received bytes for at most 20 ms in a turn of the loop. Headers are bounded however they arrive, a body over the limit is answered 413 without reading it, one request is handled at a time, and nothing is read ahead of its answer. The number of items of a job and of records of a relayed append is checked before they are decoded; a job nested too deeply is answered 400 instead of 502. Refusals are counted (admission_refusals) and logged (connection_refused) once a second for each reason.

--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -9,6 +9,7 @@
     "cancellation_answered": "a caller's cancellation was answered",
     "claim_not_confirmed": "a claim of ownership did not win",
     "configuration_applied": "a newer version of the operators' settings is in force here",
+    "connection_refused": "a client was refused or closed by the limits of a port, with the reason",
     "dependency_lost": "no good answer of a stream of the log for a second",
     "dependency_regained": "the stream answers again",
     "end_without_seat": "a worker listed the end of a run that the owner does not know",
