node, platform: polls of a large fleet wait for their turn

Cause: an owner kept one poll open to each worker. At 3,000 workers these are about 2,500 polls a second of 0.3 ms, most of a core; on a VM with half a core the event loop ran 0.4 to 0.9 s late, connections (time-out 0.25 s) and polls timed out and were opened again.

Change: above 600 workers a schedule without I/O (node/poll_schedule.py) gives polls their turns. Workers with tasks keep a poll that waits for ends; idle ones are polled without a wait in rotation and keep a quarter of the polls. The rate follows the delay of the event loop, leases that are due are renewed whatever the rate, polls that had no answer are repeated with a growing delay. Connections to workers have a limit from the descriptors of the process, few are opened at a time, and idle ones are closed. Planning passes take at most a quarter of the time there. Polling moved from owner.py to polling.py. Up to 600 workers everything is as before.

Planning passes are still long there.

--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -18,6 +18,7 @@
     earlier_owners_ended,
 )
 from zinniaweir.node.owner import Owner
+from zinniaweir.node.polling import DEFAULT_WORKER_CONNECTIONS
 from zinniaweir.node.ports import (
     Decoder,
     Fence,
@@ -70,6 +71,7 @@
         time_limits: Durations that limit leases and retention.
         counters: Receives counts of events.
         timers: Receives durations of waits and jobs.
+        worker_connections: Maximum number of connections to workers.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         time_limits: TimeLimits,
         counters: Counters,
         timers: Timers,
+        worker_connections: int = DEFAULT_WORKER_CONNECTIONS,
     ) -> None:
         self._vm_address = vm
         self._vm_name = vm.vm
@@ -94,6 +97,7 @@
         self._time_limits = time_limits
         self._counters = counters
         self._timers = timers
+        self._worker_connections = worker_connections
         self._incarnation = secrets.token_hex(8)
         read_delay = REPLICA_READ_DELAY_SECONDS if vm.strong else SMALL_VM_READ_DELAY_SECONDS
         self._view = View(
@@ -280,6 +284,7 @@
             time_limits=self._time_limits,
             counters=self._counters,
             timers=self._timers,
+            worker_connections=self._worker_connections,
         )
         self._view.set_owner(True)
         following = asyncio.create_task(self._view.workers.run())
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -9,15 +9,19 @@
 
 from zinniaweir.dispatch.dispatcher import Changes, Dispatcher
 from zinniaweir.dispatch.fleet import Worker
-from zinniaweir.dispatch.messages import Listing, StartAnswer, TaskId
+from zinniaweir.dispatch.messages import StartAnswer, TaskId
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.claim_policy import RENEWAL_INTERVAL_SECONDS
+from zinniaweir.node.polling import (
+    DEFAULT_WORKER_CONNECTIONS,
+    FAULT_DELAY_SECONDS,
+    WorkerPolling,
+)
 from zinniaweir.node.ports import (
     KeyedRecord,
     Log,
-    OtherLifeError,
     StaleEpochError,
     SupersededError,
     WorkerCallError,
@@ -43,35 +47,12 @@
 """Maximum interval between planning passes; decisions that depend on time need no event."""
 PLAN_BATCH_SECONDS: Final = 0.01
 """Changes that arrive within this time are planned together."""
-BUSY_POLL_WAIT_SECONDS: Final = 0.7
-"""How long a poll of a worker with tasks waits for an end.
-
-Two polls without an answer fit into the lease of a start.
-"""
-IDLE_POLL_WAIT_SECONDS: Final = 1.2
-"""How long a poll of an idle worker waits; shorter than the silence that excludes a worker."""
-POLL_RETRY_DELAY_SECONDS: Final = 0.1
-UNACKNOWLEDGED_DELAY_SECONDS: Final = 0.05
-"""Delay between polls while ends are not yet on the log.
-
-The worker lists unacknowledged ends again at once, without waiting for a new one.
-"""
-OUTAGE_DELAY_SECONDS: Final = 0.4
-"""Delay between polls while ends are not yet on the log and the log answers slowly.
-
-It does so if an append takes longer than this.
-"""
-INVALID_ROWS_DELAY_SECONDS: Final = 0.4
-"""Delay between polls of a worker whose list has rows that cannot be read."""
-FAULT_DELAY_SECONDS: Final = 0.5
-"""Delay after an unexpected error before the failed action is tried again."""
+PACED_PASS_SHARE: Final = 0.25
+"""Maximum share of the time that planning passes take in a large fleet."""
+PACED_UPDATE_SECONDS: Final = 0.1
+"""Interval between updates of a large fleet if the platform's list did not change."""
 START_RETRY_INTERVAL_SECONDS: Final = 0.3
 STOP_RETRY_INTERVAL_SECONDS: Final = 0.7
-MAX_SILENCE_FOR_RENEWAL_SECONDS: Final = 1.5
-"""Maximum silence after which a poll still renews the lease of a worker.
-
-Without a renewal, the time at which the worker's lease ends is known.
-"""
 
 
 class Owner:
@@ -87,6 +68,7 @@
         time_limits: Durations that limit leases and retention.
         counters: Receives counts of decisions and failures.
         timers: Receives durations of waits and jobs.
+        worker_connections: Maximum number of connections to workers.
     """
 
     def __init__(
@@ -101,6 +83,7 @@
         time_limits: TimeLimits,
         counters: Counters,
         timers: Timers,
+        worker_connections: int = DEFAULT_WORKER_CONNECTIONS,
     ) -> None:
         self._view = view
         self._workers = workers
@@ -124,9 +107,18 @@
         self._wake = asyncio.Event()
         self._record_wake = asyncio.Event()
         self._end_requested = asyncio.Event()
-        self._polled: dict[str, Worker] = {}
-        self._asked: dict[str, Worker] = {}
-        """Workers that are asked which incarnation answers at a newly listed address."""
+        self._polling = WorkerPolling(
+            owner=self,
+            dispatcher=self._dispatcher,
+            workers=workers,
+            recorder=self._recorder,
+            time_limits=time_limits,
+            counters=counters,
+            max_connections=worker_connections,
+        )
+        self._updated_at = float("-inf")
+        self._applied_changes = -1
+        """Number of changes of the platform's list that the dispatcher knows."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._releasing = False
 
@@ -140,6 +132,11 @@
         """The owner's fencing token."""
         return self._claim.epoch
 
+    @property
+    def releasing(self) -> bool:
+        """Whether the ownership is being released."""
+        return self._releasing
+
     def wake(self) -> None:
         """Trigger planning after a change."""
         self._wake.set()
@@ -150,7 +147,7 @@
         try:
             self._dispatcher.add_job(entry, now=boottime(), age=age)
         except Exception as error:
-            self._report_fault(error, job_id=entry.submission.job_id)
+            self.report_fault(error, job_id=entry.submission.job_id)
         self.wake()
 
     def cancel_job(self, job_id: str) -> None:
@@ -174,7 +171,7 @@
             self.add_job(entry)
         try:
             for loop in (self._plan_loop(), self._record_loop()):
-                self._spawn(loop).add_done_callback(self._on_loop_done)
+                self.spawn(loop).add_done_callback(self._on_loop_done)
             await self._end_requested.wait()
         finally:
             for task in list(self._tasks):
@@ -192,7 +189,8 @@
         self._record_wake.set()
         await self._end_requested.wait()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run work that ends with the ownership."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
@@ -203,33 +201,42 @@
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if error is not None:
-            self._report_fault(error)
+            self.report_fault(error)
 
     def _on_loop_done(self, task: asyncio.Task[None]) -> None:
         """End the ownership if a loop on which all jobs depend failed."""
         if not task.cancelled() and task.exception() is not None:
             self._end_requested.set()
 
-    def _report_fault(self, error: BaseException, **context: str) -> None:
+    def report_fault(self, error: BaseException, **context: str) -> None:
+        """Report an unexpected error."""
         self._counters.add("owner_faults", reason=type(error).__name__)
         log("owner_fault", error=repr(error), epoch=self.epoch, **context)
 
     async def _plan_loop(self) -> None:
         while True:
+            began_at = boottime()
             try:
                 self._plan_once()
             except Exception as error:
                 # The next owner would meet the same error, so this one goes on with the rest.
-                self._report_fault(error, action="plan")
+                self.report_fault(error, action="plan")
                 await asyncio.sleep(FAULT_DELAY_SECONDS)
+            pass_seconds = boottime() - began_at
             self._wake.clear()
             try:
                 async with asyncio.timeout(TICK_INTERVAL_SECONDS):
                     await self._wake.wait()
-                await asyncio.sleep(PLAN_BATCH_SECONDS)
+                await asyncio.sleep(self._batch_seconds(pass_seconds))
             except TimeoutError:
                 continue
 
+    def _batch_seconds(self, pass_seconds: float) -> float:
+        """Return the delay before a pass, in which changes are collected."""
+        if not self._polling.paced:
+            return PLAN_BATCH_SECONDS
+        return max(PLAN_BATCH_SECONDS, pass_seconds * (1 / PACED_PASS_SHARE - 1))
+
     def _plan_once(self) -> None:
         now = boottime()
         self._apply_view(now)
@@ -241,15 +248,19 @@
         view, dispatcher = self._view, self._dispatcher
         if view.configuration is not None:
             dispatcher.configure(view.configuration, view.evacuated)
-        dispatcher.update_workers(view.worker_entries(), now=now)
+        if self._update_due(now):
+            self._updated_at, self._applied_changes = now, view.workers_changes
+            dispatcher.update_workers(view.worker_entries(), now=now)
+            self._polling.update()
         dispatcher.update_view_time(view.decisions_fresh_at, jobs_read_at=view.jobs.fresh_at)
-        for worker in dispatcher.fleet:
-            if self._polled.get(worker.name) is not worker:
-                self._polled[worker.name] = worker
-                self._spawn(self._keep_polling(worker))
-            if worker.announced is not None and self._asked.get(worker.name) is not worker:
-                self._asked[worker.name] = worker
-                self._spawn(self._try_asking(worker))
+
+    def _update_due(self, now: float) -> bool:
+        """Return whether the fleet is updated by a pass; in a small one it is by each."""
+        return (
+            not self._polling.paced
+            or self._applied_changes != self._view.workers_changes
+            or now - self._updated_at >= PACED_UPDATE_SECONDS
+        )
 
     def _send_commands(self, now: float) -> None:
         dispatcher = self._dispatcher
@@ -261,13 +272,13 @@
             now=now, retry_after_seconds=STOP_RETRY_INTERVAL_SECONDS
         ):
             dispatcher.mark_stop_sent(assignment, now=now)
-            self._spawn(self._stop(assignment))
+            self.spawn(self._stop(assignment))
         for worker, task, run in dispatcher.orphan_runs_to_stop(
             now=now, retry_after_seconds=STOP_RETRY_INTERVAL_SECONDS
         ):
             self._counters.add("stops", reason="stray_run")
             log("stray_stopped", task=task, run=run, worker=worker.name)
-            self._spawn(self._stop_orphan_run(worker, task, run))
+            self.spawn(self._stop_orphan_run(worker, task, run))
 
     def _send_start(self, assignment: Assignment, now: float) -> None:
         if self._releasing:
@@ -275,19 +286,19 @@
         try:
             allowed = self._dispatcher.prepare_start(assignment, now=now)
         except Exception as error:
-            self._report_fault(error, action="prepare_start", worker=assignment.worker)
+            self.report_fault(error, action="prepare_start", worker=assignment.worker)
             # It counts as sent, so the next try is not made before the retry interval is over.
             assignment.sent_at = now
             return
         if allowed:
-            self._spawn(self._try_start(assignment))
+            self.spawn(self._try_start(assignment))
 
     async def _try_start(self, assignment: Assignment) -> None:
         """Send a start; after an unexpected error it may have arrived, and is sent again later."""
         try:
             await self._start(assignment)
         except Exception as error:
-            self._report_fault(error, action="start", worker=assignment.worker)
+            self.report_fault(error, action="start", worker=assignment.worker)
             await asyncio.sleep(FAULT_DELAY_SECONDS)
             if assignment.start_in_flight:
                 self._dispatcher.handle_start_answer(
@@ -310,7 +321,7 @@
             send_until=assignment.send_until,
         )
         if answer is StartAnswer.STALE_EPOCH:
-            self._on_fenced(worker)
+            self.on_fenced(worker)
         self._dispatcher.handle_start_answer(assignment, answer, now=boottime())
         self.wake()
 
@@ -329,157 +340,23 @@
         try:
             await self._workers.stop(worker.entry, task, run=run, epoch=self.epoch)
         except StaleEpochError:
-            self._on_fenced(worker)
+            self.on_fenced(worker)
             return False
         except WorkerCallError as error:
             self._counters.add("stop_failures", reason=type(error).__name__)
             return False
         except Exception as error:
-            self._report_fault(error, action="stop", worker=worker.name)
+            self.report_fault(error, action="stop", worker=worker.name)
             await asyncio.sleep(FAULT_DELAY_SECONDS)
             return False
         return True
 
-    def _on_fenced(self, worker: Worker) -> None:
+    def on_fenced(self, worker: Worker) -> None:
+        """End the ownership, since a worker knows a newer owner."""
         self._counters.add("fenced", reason="worker")
         log("owner_fenced", by=worker.name, epoch=self.epoch)
         self._end_requested.set()
 
-    async def _keep_polling(self, worker: Worker) -> None:
-        """Poll a worker; after an unexpected error it counts as silent, and is asked again."""
-        while self._dispatcher.fleet.get(worker.name) is worker:
-            poll_sent_at = boottime()
-            try:
-                await self._poll_worker(worker)
-                return
-            except Exception as error:
-                self._report_fault(error, action="poll", worker=worker.name)
-                self._dispatcher.handle_unanswered_poll(worker, poll_sent_at=poll_sent_at)
-                await asyncio.sleep(FAULT_DELAY_SECONDS)
-
-    async def _poll_worker(self, worker: Worker) -> None:
-        """Poll one incarnation of a worker until it is replaced or removed.
-
-        A poll is answered as soon as a run ends.
-        """
-        dispatcher = self._dispatcher
-        answered = True
-        while dispatcher.fleet.get(worker.name) is worker:
-            poll_sent_at = boottime()
-            # A worker that may be lost gets no longer lease, since its tasks wait for the lease's
-            # end before they run elsewhere.
-            lease = self._lease(worker, poll_sent_at) if answered else None
-            wait = BUSY_POLL_WAIT_SECONDS if worker.assignments else IDLE_POLL_WAIT_SECONDS
-            # It gets no work before it has confirmed a lease, so that is not delayed.
-            unconfirmed = lease is not None and not worker.leased(poll_sent_at)
-            if worker.listed_at is None or unconfirmed or not answered:
-                wait = 0.0
-            acknowledgement = worker.acknowledgement_to_send if answered else 0
-            try:
-                listing = await self._workers.poll(
-                    worker.entry,
-                    epoch=self.epoch,
-                    # Only an incarnation that has just answered is surely the one that is meant.
-                    acknowledged=acknowledgement,
-                    lease_until_ms=lease,
-                    wait_seconds=wait,
-                )
-            except StaleEpochError:
-                self._on_fenced(worker)
-                return
-            except WorkerCallError as error:
-                answered = False
-                dispatcher.handle_unanswered_poll(worker, poll_sent_at=poll_sent_at)
-                self._counters.add("look_failures", reason=type(error).__name__)
-                delay = (
-                    RENEWAL_INTERVAL_SECONDS
-                    if isinstance(error, OtherLifeError)
-                    else POLL_RETRY_DELAY_SECONDS
-                )
-                await asyncio.sleep(delay)
-                continue
-            answered = True
-            worker.discarded_end = max(worker.discarded_end, acknowledgement)
-            await self._apply_listing(
-                worker, listing, poll_sent_at=poll_sent_at, renewed=lease is not None
-            )
-            if worker.applied_end > worker.acknowledged_end:
-                await asyncio.sleep(self._unacknowledged_delay)
-            elif listing.invalid_rows:
-                # An end without a number is never acknowledged, so no poll would wait any more.
-                await asyncio.sleep(INVALID_ROWS_DELAY_SECONDS)
-
-    async def _try_asking(self, worker: Worker) -> None:
-        """Ask which incarnation of a worker runs; after an unexpected error it is asked again."""
-        try:
-            await self._ask_announced(worker)
-        except Exception as error:
-            self._report_fault(error, action="ask", worker=worker.name)
-            await asyncio.sleep(FAULT_DELAY_SECONDS)
-            self._asked.pop(worker.name, None)
-
-    async def _ask_announced(self, worker: Worker) -> None:
-        """Ask which incarnation of a worker runs, since the platform's list shows another one.
-
-        The poll renews and acknowledges nothing. An answer settles it: either the other incarnation
-        answers and replaces the known one, or the known one has outlived the other.
-        """
-        dispatcher = self._dispatcher
-        while dispatcher.fleet.get(worker.name) is worker and worker.announced is not None:
-            poll_sent_at = boottime()
-            try:
-                listing = await self._workers.poll(
-                    worker.announced,
-                    epoch=self.epoch,
-                    acknowledged=0,
-                    lease_until_ms=None,
-                    wait_seconds=0.0,
-                )
-            except StaleEpochError:
-                self._on_fenced(worker)
-                return
-            except WorkerCallError as error:
-                self._counters.add("look_failures", reason=type(error).__name__)
-                await asyncio.sleep(POLL_RETRY_DELAY_SECONDS)
-                continue
-            await self._apply_listing(worker, listing, poll_sent_at=poll_sent_at, renewed=False)
-        if self._asked.get(worker.name) is worker:
-            del self._asked[worker.name]
-
-    async def _apply_listing(
-        self, worker: Worker, listing: Listing, *, poll_sent_at: float, renewed: bool
-    ) -> None:
-        try:
-            self._dispatcher.handle_listing(
-                worker, listing, poll_sent_at=poll_sent_at, renewed=renewed, now=boottime()
-            )
-        except Exception as error:
-            self._report_fault(error, action="poll", worker=worker.name)
-            await asyncio.sleep(FAULT_DELAY_SECONDS)
-        self.wake()
-
-    @property
-    def _unacknowledged_delay(self) -> float:
-        log_is_slow = self._recorder.pending_seconds > OUTAGE_DELAY_SECONDS
-        return OUTAGE_DELAY_SECONDS if log_is_slow else UNACKNOWLEDGED_DELAY_SECONDS
-
-    def _lease(self, worker: Worker, now: float) -> int | None:
-        """Return the lease end to send with a poll, None if the lease must not be renewed.
-
-        The lease end is in milliseconds on the worker's clock. It counts from the lower bound of
-        that clock, so a poll that is carried out late gives no longer lease than the next owner
-        waits for.
-        """
-        if self._releasing:
-            return None
-        if not worker.clock.known or now - worker.answered_at > MAX_SILENCE_FOR_RENEWAL_SECONDS:
-            return None
-        if now - self._recorder.confirmed_at > self._time_limits.renewal_grace_seconds:
-            return None
-        until = int(worker.clock.earliest(now) + self._time_limits.lease_seconds * 1e3)
-        worker.lease_until_ms = max(worker.lease_until_ms, until)
-        return until
-
     async def _record_loop(self) -> None:
         renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
         while True:
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -68,6 +68,8 @@
         self._configuration: Configuration | None = None
         self._evacuated: dict[str, str] = {}
         self._workers: dict[str, WorkerEntry] = {}
+        self.workers_changes = 0
+        """Number of records of the list of workers that were read."""
         self.jobs = self._follower(
             log_port, Stream.JOBS, self._reset_jobs, self._apply_job, JOBS_READ_WAIT_SECONDS
         )
@@ -209,8 +211,10 @@
 
     def _reset_workers(self) -> None:
         self._workers = {}
+        self.workers_changes += 1
 
     def _apply_worker(self, record: KeyedRecord) -> None:
+        self.workers_changes += 1
         if record.value is None:
             if self._workers.pop(record.key, None) is not None:
                 log("worker_entry_removed", worker=record.key)
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -32,7 +32,7 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
-from zinniaweir.node.owner import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
+from zinniaweir.node.polling import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
 from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream, WorkerClient
 from zinniaweir.node.recorder import Recorder
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -30,6 +30,8 @@
     "owner_fenced": "a worker or the log knows a newer owner",
     "owner_superseded": "the log has a newer claim",
     "ownership_ended": "how long an ownership lasted",
+    "polls_paced": "the fleet is large, so polls of workers wait for their turn",
+    "polls_throttled": "polls of workers with tasks are late, or do not wait for ends",
     "read_fault": "reading a stream of the log caused a fault of the program; it is read again",
     "record_fault": "applying a record caused a fault of the program; the record is skipped",
     "record_ignored": "a record could not be read or is of no known kind",
