--- a/bench/capacity_bench.py
+++ b/bench/capacity_bench.py
@@ -22,6 +22,7 @@
     "snapshots": ("snapshots", "measure"),
     "replacement": ("replacement", "measure"),
     "requests": ("entry_requests", "measure"),
+    "planning_pass": ("planning_pass", "measure"),
 }
 """Module below `bench.capacity` and function of each part; the function takes the seed."""
 
--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -11,6 +11,12 @@
 from zinniaweir.dispatch.units import Assignment, Demand, LateStart, Unit
 from zinniaweir.workloads.spec import MAX_TASKS
 
+LARGE_FLEET_WORKERS: Final = 600
+"""Number of workers above which a fleet is large.
+
+Polls are paced there, and planning passes examine a part of the workers for each unit. An owner
+of 600 workers spends about a fifth of a core on polls that are not paced.
+"""
 MAX_SILENCE_SECONDS: Final = 2.0
 """A worker without an answer for this long gets no work.
 
--- /dev/null
+++ b/packages/dispatch/src/zinniaweir/dispatch/pass_slices.py
@@ -0,0 +1,61 @@
+"""Planning passes that are carried out in slices, so that a long one delays nothing else."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+SLICE_WORKERS: Final = 4_000
+"""Number of workers that one slice examines.
+
+A slice takes 5 to 12 ms of a core; a fleet of up to 600 workers has passes of one slice only.
+"""
+MAX_PASS_SECONDS: Final = 0.8
+"""Time after which a pass is dropped and a new one begins; what it knows of workers is old then."""
+
+
+class PassSlices:
+    """Carry out a planning pass in slices.
+
+    The pass keeps its reservations, so the units that it tries later respect them.
+    """
+
+    def __init__(self) -> None:
+        self._steps: Iterator[int] | None = None
+        self._began_at = float("-inf")
+
+    def pending(self, now: float) -> bool:
+        """Return whether a pass is unfinished and still recent enough to go on with.
+
+        Args:
+            now: Current time in seconds.
+        """
+        if now - self._began_at > MAX_PASS_SECONDS:
+            self._steps = None
+        return self._steps is not None
+
+    def begin(self, steps: Iterator[int], now: float) -> None:
+        """Begin a pass; nothing of it is carried out yet.
+
+        Args:
+            steps: Tries one unit with each step, and yields the number of workers that the pass
+                has examined so far.
+            now: Current time in seconds.
+        """
+        self._steps, self._began_at = steps, now
+
+    def advance(self, *, sliced: bool) -> None:
+        """Carry out one slice of the pass, or all of it.
+
+        Args:
+            sliced: Whether the pass may be interrupted.
+        """
+        steps = self._steps
+        if steps is None:
+            return
+        before: int | None = None
+        for examined in steps:
+            before = examined if before is None else before
+            if sliced and examined - before >= SLICE_WORKERS:
+                return
+        self._steps = None
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -47,7 +47,7 @@
 """Maximum interval between planning passes; decisions that depend on time need no event."""
 PLAN_BATCH_SECONDS: Final = 0.01
 """Changes that arrive within this time are planned together."""
-PACED_PASS_SHARE: Final = 0.25
+PACED_PASS_SHARE: Final = 0.4
 """Maximum share of the time that planning passes take in a large fleet."""
 PACED_UPDATE_SECONDS: Final = 0.1
 """Interval between updates of a large fleet if the platform's list did not change."""
--- a/packages/node/src/zinniaweir/node/poll_schedule.py
+++ b/packages/node/src/zinniaweir/node/poll_schedule.py
@@ -9,12 +9,8 @@
 from enum import IntEnum, StrEnum
 from typing import Final, Generic, TypeVar
 
-LARGE_FLEET_WORKERS: Final = 600
-"""Number of workers above which polls are paced.
+from zinniaweir.dispatch.fleet import LARGE_FLEET_WORKERS
 
-An owner of 600 workers spends about a fifth of a core on polls that are not paced
-(docs/design/large-fleets.md).
-"""
 SMALL_FLEET_WORKERS: Final = 500
 """Number of workers below which polls are not paced any more."""
 INITIAL_POLLS_PER_SECOND: Final = 600.0
