node, soak: the rate of polls also follows how late answers come

Cause: 3,000 workers' entries take about 3.8 Mbit/s of the owner's link and 800 polls a second about 2 Mbit/s each way; links have 5 to 100 Mbit/s. The rate followed the event loop's delay only, which a full link does not show.

Change: the schedule takes the mean duration of answered polls that do not wait; above 0.25 s the rate falls, below 0.12 s it may rise.

--- a/packages/node/src/zinniaweir/node/poll_schedule.py
+++ b/packages/node/src/zinniaweir/node/poll_schedule.py
@@ -33,10 +33,17 @@
 """Mean delay of the event loop above which the rate falls."""
 LOW_DELAY_SECONDS: Final = 0.012
 """Mean delay of the event loop below which the rate rises."""
+HIGH_LATENCY_SECONDS: Final = 0.25
+"""Mean duration of polls that do not wait above which the rate falls.
+
+A link that is full delays the log's answers too, and polls time out after 0.6 s.
+"""
+LOW_LATENCY_SECONDS: Final = 0.12
+"""Mean duration of polls that do not wait below which the rate rises."""
 RATE_DECREASE: Final = 0.8
-"""Factor on the rate if the event loop is delayed."""
+"""Factor on the rate if the event loop or answers are delayed."""
 RATE_INCREASE: Final = 1.1
-"""Factor on the rate if the event loop is not delayed."""
+"""Factor on the rate if neither is delayed."""
 WAITING_SHARE: Final = 0.8
 """Share of the connections up to which polls wait for ends of runs; beyond it none does."""
 THROTTLED_DELAY_SECONDS: Final = 0.3
@@ -60,7 +67,7 @@
     """What limits the polls."""
 
     RATE = "rate"
-    """Processor time of the VM."""
+    """Processor time or link of the VM."""
     CONNECTIONS = "connections"
     """Descriptors of the process."""
 
@@ -75,13 +82,30 @@
     """Whether the poll may wait for the end of a run."""
 
 
+class _Mean:
+    """Mean of the values since it was last taken, 0 without any."""
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._count = 0
+
+    def add(self, value: float) -> None:
+        self._sum += value
+        self._count += 1
+
+    def take(self) -> float:
+        mean = self._sum / self._count if self._count else 0.0
+        self._sum, self._count = 0.0, 0
+        return mean
+
+
 class PollSchedule(Generic[K]):
     """Decide which worker is polled next.
 
     Polls of workers with tasks go before those of idle workers, which keep a share. The rate
-    follows the delay of the event loop, which tells on every VM whether its processor is
-    overloaded. Urgent polls are bounded by their number in flight instead of by the rate, so leases
-    are renewed also if the rate is too low.
+    follows the delay of the event loop and that of answers, which tell on every VM whether its
+    processor or its link is overloaded. Urgent polls are bounded by their number in flight instead
+    of by the rate, so leases are renewed also if the rate is too low.
 
     Args:
         max_in_flight: Maximum number of polls in flight.
@@ -100,8 +124,8 @@
         self._in_flight: dict[K, PollClass] = {}
         self._urgent_in_flight = 0
         self._numbers = itertools.count()
-        self._delay_sum = 0.0
-        self._delay_count = 0
+        self._delays = _Mean()
+        self._latencies = _Mean()
         self._rated_at: float | None = None
         self.throttled: dict[ThrottleReason, int] = dict.fromkeys(ThrottleReason, 0)
         """Number of polls of workers with tasks that were late, by reason, since it was reset."""
@@ -184,19 +208,22 @@
             seconds: The delay.
             now: Current time in seconds.
         """
-        self._delay_sum += seconds
-        self._delay_count += 1
+        self._delays.add(seconds)
         if self._rated_at is None:
             self._rated_at = now
         if now - self._rated_at < RATE_INTERVAL_SECONDS:
             return
-        mean = self._delay_sum / self._delay_count
-        self._rated_at, self._delay_sum, self._delay_count = now, 0.0, 0
-        if mean > HIGH_DELAY_SECONDS:
+        self._rated_at = now
+        delay, latency = self._delays.take(), self._latencies.take()
+        if delay > HIGH_DELAY_SECONDS or latency > HIGH_LATENCY_SECONDS:
             self._rate = max(self._rate * RATE_DECREASE, MIN_POLLS_PER_SECOND)
-        elif mean < LOW_DELAY_SECONDS:
+        elif delay < LOW_DELAY_SECONDS and latency < LOW_LATENCY_SECONDS:
             self._rate = min(self._rate * RATE_INCREASE, MAX_POLLS_PER_SECOND)
 
+    def observe_latency(self, seconds: float) -> None:
+        """Record how long a poll took that was answered and did not wait, in seconds."""
+        self._latencies.add(seconds)
+
     def _refill(self, now: float) -> None:
         since = now if self._refilled_at is None else self._refilled_at
         self._refilled_at = now
--- a/packages/node/src/zinniaweir/node/polling.py
+++ b/packages/node/src/zinniaweir/node/polling.py
@@ -336,6 +336,8 @@
         except WorkerCallError:
             self._dispatcher.handle_unanswered_poll(worker, poll_sent_at=poll_sent_at)
             raise
+        if not wait:
+            self._schedule.observe_latency(boottime() - poll_sent_at)
         worker.discarded_end = max(worker.discarded_end, acknowledgement)
         await self._apply_listing(
             worker, listing, poll_sent_at=poll_sent_at, renewed=lease is not None
--- a/packages/node/tests/test_poll_schedule.py
+++ b/packages/node/tests/test_poll_schedule.py
@@ -71,6 +71,15 @@
     assert schedule.rate > 2 * MIN_POLLS_PER_SECOND
 
 
+def test_a_full_link_is_noticed_by_late_answers() -> None:
+    """Guards against polls that fill the owner's link, so that it cannot read the log in time."""
+    schedule = new_schedule()
+    for tick in range(1_000):
+        schedule.observe_latency(0.4)
+        schedule.observe_delay(0.0, now=tick * TICK)
+    assert schedule.rate == MIN_POLLS_PER_SECOND
+
+
 def test_leases_are_renewed_whatever_the_rate() -> None:
     """Guards against runs that end with their leases, since the owner polls too slowly."""
     schedule = new_schedule()
