dispatch: passes over large fleets are short and carried out in slices

Cause: one planning pass at 3,000 workers and 1,000 waiting units takes seconds, in which no lease is renewed. Change: the planner tries units through the shortlist and, above 600 workers, in slices; quotas are counted anew and the view is checked for each slice, and a unit that is not waiting any more is left out.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -462,7 +462,8 @@
 
         Does nothing if no event arrived and the last pass is recent.
         """
-        if not self._runs.changed and now - self._planned_at < MAX_PLAN_INTERVAL_SECONDS:
+        recent = now - self._planned_at < MAX_PLAN_INTERVAL_SECONDS
+        if recent and not self._runs.changed and not self._planner.unfinished:
             return
         self._runs.changed, self._planned_at = False, now
         self._expiry.apply(now)
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from zinniaweir.dispatch.fleet import MAX_SILENCE_SECONDS, Fleet, Worker
+from zinniaweir.dispatch.fleet import LARGE_FLEET_WORKERS, MAX_SILENCE_SECONDS, Fleet, Worker
 from zinniaweir.dispatch.guarantees import covered_jobs
 from zinniaweir.dispatch.headroom import Headroom
 from zinniaweir.dispatch.health import WorkerHealth
 from zinniaweir.dispatch.ordering import Rank, objective_seconds, rank
+from zinniaweir.dispatch.pass_slices import PassSlices
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
@@ -85,6 +86,8 @@
         self._guaranteed: dict[str, int] = {}
         self._quotas: dict[str, ResourceLimit] = {}
         self._quota_idle_since: dict[str, float] = {}
+        self._quota_use = Quotas()
+        self._slices = PassSlices()
         self._share_policy = SharePolicy(reporter=reporter)
         self._evacuated: frozenset[str] = frozenset()
         self._view_at = float("-inf")
@@ -170,46 +173,55 @@
             return "stray_runs"
         return "" if self._health.usable(worker.name, now=now) else "paused"
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a pass over a large fleet goes on with the next call of `plan`."""
+        return self._slices.unfinished
+
     def plan(
         self, jobs: Iterable[OwnedJob], *, now: float, place: PlaceUnit, stop: StopUnit
     ) -> None:
         """Place the waiting units that fit, unless the view is too old.
 
+        In a large fleet a call carries out one slice of a pass.
+
         Args:
             jobs: All jobs.
             now: Current time in seconds.
             place: Called for each unit that is placed.
             stop: Called for each unit that is preempted.
         """
+        if now + PLACEMENT_SECONDS > self.starts_allowed_until:
+            self._slices.drop()
+            return
+        if self._slices.pending(now):
+            # Runs may have become known since the last slice.
+            self._quota_use.count_running(self._fleet, self._inherited, now)
+        else:
+            self._slices.begin(self._carry_out(jobs, now, place, stop), now)
+        self._slices.advance(sliced=len(self._fleet) > LARGE_FLEET_WORKERS)
+
+    def _carry_out(
+        self, jobs: Iterable[OwnedJob], now: float, place: PlaceUnit, stop: StopUnit
+    ) -> Iterator[int]:
+        """Try the waiting units by rank, and yield how many workers were examined so far."""
         self._share_policy.end_unused(now)
         open_jobs = [job for job in jobs if not job.closed and job.job_id not in self._set_aside]
         waiting = [job for job in open_jobs if any(True for _ in job.ready_units())]
-        if not waiting or now + PLACEMENT_SECONDS > self.starts_allowed_until:
+        if not waiting:
             return
         covered = covered_jobs(open_jobs, self._guaranteed)
-        quotas = Quotas(self._quotas)
-        quotas.count_running(self._fleet, self._inherited, now)
-        self._quota_idle_since = {
-            customer: self._quota_idle_since.get(customer, now)
-            for customer in quotas.customers
-            if quotas.share_in_use(customer) < IDLE_QUOTA_SHARE
-        }
+        quotas = self._count_quotas(now)
+        usable = [w for w in self._fleet if not self.exclusion_reason(w, now)]
+        inputs = ShareInputs(
+            now=now, usable=usable, quotas=quotas, fleet=self._fleet, inherited=self._inherited
+        )
+        shares = ShareTurns(policy=self._share_policy, inputs=inputs)
 
         def place_and_count(unit: Unit, workers: list[Worker]) -> None:
             self._headroom.record_placement(unit, workers, now=now)
             place(unit, workers)
 
-        usable = [w for w in self._fleet if not self.exclusion_reason(w, now)]
-        shares = ShareTurns(
-            policy=self._share_policy,
-            inputs=ShareInputs(
-                now=now,
-                usable=usable,
-                quotas=quotas,
-                fleet=self._fleet,
-                inherited=self._inherited,
-            ),
-        )
         context = PassContext(
             now=now,
             view_age=now - self._view_at,
@@ -231,11 +243,23 @@
             reporter=self._reporter,
         )
         for job, job_rank, units in shares.turns(self._ranked(waiting, covered, now), covered):
-            if job.job_id in self._set_aside:
-                continue
-            with self._set_aside_on_fault(job):
-                for unit in list(units):
+            for unit in list(units):
+                if job.job_id in self._set_aside or job.closed or not unit.waiting:
+                    continue
+                with self._set_aside_on_fault(job):
                     planning_pass.schedule_unit(unit, job_rank, covered=job.job_id in covered)
+                yield planning_pass.examined
+
+    def _count_quotas(self, now: float) -> Quotas:
+        """Return the quotas with what counts against them now."""
+        quotas = self._quota_use = Quotas(self._quotas)
+        quotas.count_running(self._fleet, self._inherited, now)
+        self._quota_idle_since = {
+            customer: self._quota_idle_since.get(customer, now)
+            for customer in quotas.customers
+            if quotas.share_in_use(customer) < IDLE_QUOTA_SHARE
+        }
+        return quotas
 
     @contextmanager
     def _set_aside_on_fault(self, job: OwnedJob) -> Iterator[None]:
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -25,6 +25,7 @@
 from zinniaweir.dispatch.reservations import Reservation, reserve
 from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import CAUTIOUS, RunTimes
+from zinniaweir.dispatch.shortlist import Shortlist
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.losses import is_seen_to_work
 from zinniaweir.workloads.spec import StepSpec
@@ -162,6 +163,12 @@
         self._rack_use: dict[str, int] = defaultdict(int)
         for worker in self._usable:
             self._rack_use[worker.entry.rack] += worker.used_accelerators
+        self._shortlist = Shortlist(self._rack_use)
+
+    @property
+    def examined(self) -> int:
+        """Number of workers that were examined so far, a measure of the processor time."""
+        return self._shortlist.examined
 
     def schedule_unit(self, unit: Unit, rank: Rank, *, covered: bool) -> None:
         """Place a unit, or reserve capacity and preempt for it.
@@ -191,7 +198,13 @@
         excluded = self._excluded_for(unit) | kept
         chosen = choose_workers(
             unit,
-            self._open_to(unit, self._with_capacity_for(unit), excluded),
+            self._shortlist.for_placement(
+                unit,
+                self._with_capacity_for(unit),
+                open_to=lambda workers: self._open_to(unit, workers, excluded),
+                one_rack=unit.step.rack_local and not spread_allowed,
+                empty_only=self._needs_empty_workers(unit),
+            ),
             rack_use=self._rack_use,
             penalty=self._retries.penalty_for(unit, self._health.failed_job_count, now=self._now),
             speed_level=self._context.speed_level,
@@ -430,7 +443,8 @@
         now = self._now
         if not covered and rank.lateness > 0 or not search_due(unit, now=self._now):
             return
-        workers = self._open_to(unit, self._allowed_for(unit), excluded)
+        allowed = self._shortlist.for_search(unit, self._allowed_for(unit), now=now)
+        workers = self._open_to(unit, allowed, excluded)
         eviction = self._evictions.choose(
             unit, workers, spread_allowed=spread_allowed, guaranteed=covered
         )
@@ -476,7 +490,9 @@
         reserved = {name for r in self._reservations for name in r.workers}
         reservation = reserve(
             unit,
-            [w for w in self._usable if w.name not in reserved],
+            self._shortlist.for_search(
+                unit, [w for w in self._usable if w.name not in reserved], now=self._now
+            ),
             free_at=lambda w: self._free_at(w, unit),
             one_rack=unit.step.rack_local and not spread_allowed,
         )
--- a/packages/dispatch/src/zinniaweir/dispatch/quotas.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/quotas.py
@@ -116,6 +116,7 @@
         """
         if not self._quotas:
             return
+        self._usage, self._running = {}, {}
         for unit, assigned in counted_units(fleet, inherited, now):
             self._add(unit, 1)
             if assigned and unit.job.customer in self._quotas:
