workloads, docs: shares without weights decide only on a large excess

Cause: without weights, shares decided once a customer held 1.5 times its part while another one waited with half of its own.

Change: the excess is measured in relation to the rest (three times as much): above 75% for one of two equal customers, 25% for one of ten.

--- a/packages/workloads/src/zinniaweir/workloads/shares.py
+++ b/packages/workloads/src/zinniaweir/workloads/shares.py
@@ -9,8 +9,11 @@
 """Weight of a customer without a stated one."""
 MIN_WEIGHT: Final = 1e-3
 """Weight that counts for a customer whose stated weight is lower."""
-EXCESS_RATIO: Final = 1.5
-"""A customer holds far more than its part of the capacity above this ratio of the two."""
+EXCESS_FACTOR: Final = 3.0
+"""A customer holds far more than its part if it holds so many times more in relation to the rest.
+
+These are 75% if it is one of two equal customers, and 25% if it is one of ten.
+"""
 SHORTAGE_RATIO: Final = 0.5
 """A customer holds far less than its part of the capacity below this ratio of the two."""
 RATIO_STEP: Final = 0.1
@@ -97,8 +100,14 @@
         Args:
             waiting: The active customers that wait.
         """
-        excess = max(self._ratios.values(), default=0.0) > EXCESS_RATIO
-        return excess and any(self._ratios[customer] < SHORTAGE_RATIO for customer in waiting)
+        if all(self._ratios[customer] >= SHORTAGE_RATIO for customer in waiting):
+            return False
+        return any(self._holds_excess(customer) for customer in self._ratios)
+
+    def _holds_excess(self, customer: str) -> bool:
+        part = self._parts[customer]
+        share = self._ratios[customer] * part
+        return share * (1.0 - part) > EXCESS_FACTOR * part * (1.0 - share)
 
     def _compute_ratio(self, customer: str) -> float:
         used = self._used.get(customer)
