--- a/testkit/src/zinniaweir_testkit/crowd.py
+++ b/testkit/src/zinniaweir_testkit/crowd.py
@@ -29,7 +29,7 @@
 
     def run(self) -> None:
         """Run the crowd until all of its connections are closed."""
-        asyncio.run(self._run())
+        asyncio.run(self.run_here())
 
     @contextlib.contextmanager
     def present(self) -> Iterator[None]:
@@ -39,7 +39,8 @@
         yield
         thread.join()
 
-    async def _run(self) -> None:
+    async def run_here(self) -> None:
+        """Run the crowd in the present event loop."""
         clients = [asyncio.create_task(self._client()) for _ in range(self.count)]
         await asyncio.sleep(self.seconds)
         for client in clients:
