--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -143,7 +143,8 @@
     unit: Unit, worker: Worker, failed_job_count: int, rack_used: int, level: int
 ) -> tuple[float, ...]:
     step = unit.step
-    speed_cost = -level if unit.job.terms.priority == URGENT_PRIORITY else level
+    # Patient tasks leave fast workers to urgent ones, but use slow ones no sooner than usual ones.
+    speed_cost = -level if unit.job.terms.priority == URGENT_PRIORITY else max(level, 0)
     off_home_rack = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
     memory_left = worker.entry.memory_mb - worker.used_memory - step.memory_mb
