--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -15,7 +15,7 @@
 """Number of workers above which a fleet is large.
 
 Polls are paced there, and planning passes examine a part of the workers for each unit. An owner
-of 600 workers spends about a fifth of a core on polls that are not paced.
+of 600 idle workers spends about a tenth of a core (docs/design/large-fleets.md).
 """
 MAX_SILENCE_SECONDS: Final = 2.0
 """A worker without an answer for this long gets no work.
--- a/packages/dispatch/src/zinniaweir/dispatch/pass_slices.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/pass_slices.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 from typing import Final
 
-SLICE_WORKERS: Final = 4_000
+SLICE_WORKERS: Final = 8_000
 """Number of workers that one slice examines.
 
-A slice takes 5 to 12 ms of a core; a fleet of up to 600 workers has passes of one slice only.
+A slice takes up to 10 ms of a core; a fleet of up to 600 workers has passes of one slice only.
 """
 MAX_PASS_SECONDS: Final = 0.8
 """Time after which a pass is dropped and a new one begins; what it knows of workers is old then."""
@@ -44,6 +44,10 @@
         """
         self._steps, self._began_at = steps, now
 
+    def drop(self) -> None:
+        """Drop the unfinished pass, since something that it relies on has changed."""
+        self._steps = None
+
     def advance(self, *, sliced: bool) -> None:
         """Carry out one slice of the pass, or all of it.
 
--- a/packages/dispatch/src/zinniaweir/dispatch/shortlist.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/shortlist.py
@@ -13,7 +13,7 @@
 """Number of workers among which a unit is placed if whole racks with as many have room for it."""
 SEARCH_WORKERS: Final = 200
 """Number of workers among which one search looks for work to preempt, or for a reservation."""
-SEARCH_COST: Final = 5
+SEARCH_COST: Final = 20
 """Processor time of a search for each worker, as a multiple of that of a placement."""
 SEARCH_SECONDS: Final = 0.1
 """Searches at intervals of this length examine different racks."""
--- a/packages/dispatch/tests/test_shortlist.py
+++ b/packages/dispatch/tests/test_shortlist.py
@@ -148,3 +148,6 @@
     slices.advance(sliced=True)
     assert slices.pending(MAX_PASS_SECONDS)
     assert not slices.pending(MAX_PASS_SECONDS + 0.1)
+    slices.begin(steps(35, tried), 0.0)
+    slices.drop()
+    assert not slices.pending(0.0)
