--- a/packages/dispatch/src/zinniaweir/dispatch/pass_slices.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/pass_slices.py
@@ -29,10 +29,6 @@
         """Whether a pass was begun and not carried out to its end."""
         return self._steps is not None
 
-    def drop(self) -> None:
-        """Drop an unfinished pass."""
-        self._steps = None
-
     def pending(self, now: float) -> bool:
         """Return whether a pass is unfinished and still recent enough to go on with.
 
