dispatch: a rack-local gang that has to span racks is placed as without speeds

Where no rack can hold a rack-local gang, members of like speed could lie on more racks than tight packing would use, and such a gang is slow on each further rack.

These gangs follow the order of a fleet without speeds. Single tasks take their speed criterion after tight packing in a key of their own, so the order for gangs does not contain it twice.

--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -12,7 +12,9 @@
 from zinniaweir.dispatch.units import Unit
 
 CRITERIA_BEFORE_SPEED: Final = 2
-"""Number of criteria of a candidate's cost that count before its speed."""
+"""Number of criteria of a candidate's cost that count before its speed for a gang."""
+CRITERIA_BEFORE_PACKED_SPEED: Final = 3
+"""Number of those that count before its speed for a single task: tight packing is the third."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -119,17 +121,21 @@
         if count > 0:
             level = speed_level(worker) if speed_level is not None else 0
             failed, rack_used = failed_job_count(worker.name), rack_use.get(worker.entry.rack, 0)
-            cost = _cost(unit, worker, failed, rack_used, level)
+            cost = _cost(unit, worker, failed, rack_used)
             candidates.append(Candidate(worker=worker, count=count, cost=cost, level=level))
     needed = len(unit.indexes)
     if sum(candidate.count for candidate in candidates) < needed:
         return None
-    candidates.sort(key=lambda c: c.cost)
     urgent = unit.job.terms.priority == URGENT_PRIORITY
-    if needed > 1 and unit.step.rack_local:
+    if needed == 1:
+        return [min(candidates, key=lambda c: _single_task_cost(c, urgent=urgent)).worker]
+    candidates.sort(key=lambda c: c.cost)
+    if unit.step.rack_local:
         found = _fill_one_rack(candidates, needed, urgent=urgent)
         if found is not None or not spread_allowed:
             return found
+        # On several racks it is slow anyway; workers of like speed might be on more of them.
+        return _fill(candidates, needed)
     return _fill_alike(candidates, needed, urgent=urgent)
 
 
@@ -139,12 +145,19 @@
     return max((sum(empty_capacity_for(unit, w) for w in rack) for rack in racks), default=0)
 
 
-def _cost(
-    unit: Unit, worker: Worker, failed_job_count: int, rack_used: int, level: int
-) -> tuple[float, ...]:
+def _single_task_cost(candidate: Candidate, *, urgent: bool) -> tuple[float, ...]:
+    """Return the sort key of a worker for a single task, with its speed after tight packing.
+
+    Patient tasks leave fast workers to urgent ones, but use slow ones no sooner than usual ones.
+    """
+    level = candidate.level
+    speed_cost = float(-level if urgent else max(level, 0))
+    cost = candidate.cost
+    return (*cost[:CRITERIA_BEFORE_PACKED_SPEED], speed_cost, *cost[CRITERIA_BEFORE_PACKED_SPEED:])
+
+
+def _cost(unit: Unit, worker: Worker, failed_job_count: int, rack_used: int) -> tuple[float, ...]:
     step = unit.step
-    # Patient tasks leave fast workers to urgent ones, but use slow ones no sooner than usual ones.
-    speed_cost = -level if unit.job.terms.priority == URGENT_PRIORITY else max(level, 0)
     off_home_rack = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
     memory_left = worker.entry.memory_mb - worker.used_memory - step.memory_mb
@@ -152,7 +165,6 @@
         float(failed_job_count),
         float(off_home_rack),
         float(left),
-        float(speed_cost),
         -float(rack_used),
         float(memory_left),
     )
@@ -194,7 +206,7 @@
 ) -> list[Worker] | None:
     """Fill candidates in their order, but with members of like speed if they differ."""
     levels = sorted({candidate.level for candidate in candidates})
-    if needed == 1 or len(levels) < 2:
+    if len(levels) < 2:
         return _fill(candidates, needed)
     best: tuple[tuple[float, ...], list[Worker]] | None = None
     for level in levels:
--- a/packages/dispatch/tests/test_speed_placement.py
+++ b/packages/dispatch/tests/test_speed_placement.py
@@ -53,6 +53,10 @@
         racks = {"a0": 0, "a1": 0, "b0": 4, "c0": 4}
         gang = unit_of(2, priority=priority, rack_local=True)
         assert choose(gang, racks, spread_allowed=True) == ["a0", "a1"]
+        wide = unit_of(3, priority=priority, rack_local=True)
+        spread = {"a0": 0, "a1": 4, "b0": 4, "c0": 4}
+        usual = choose(wide, dict.fromkeys(spread, 0), spread_allowed=True)
+        assert choose(wide, spread, spread_allowed=True) == usual == ["a0", "a1", "b0"]
 
 
 def test_failures_and_home_rack_come_before_speed() -> None:
