--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 from typing import Final
 
+from zinniaweir.dispatch.changes import Changes
 from zinniaweir.dispatch.departure import units_to_move
 from zinniaweir.dispatch.expiry import Expiry
 from zinniaweir.dispatch.fleet import Fleet, Worker
@@ -13,7 +13,6 @@
 from zinniaweir.dispatch.inherited import InheritedAssignments
 from zinniaweir.dispatch.listings import Listings
 from zinniaweir.dispatch.messages import (
-    Acknowledgement,
     Listing,
     RunEnd,
     StartAnswer,
@@ -31,7 +30,6 @@
 from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import Configuration
-from zinniaweir.workloads.records import Progress
 
 MAX_PLAN_INTERVAL_SECONDS: Final = 0.1
 """Maximum interval between planning passes without an event, because some waits end by time."""
@@ -40,24 +38,6 @@
 """Factor on the length of a lease on a worker whose clock was never read and may be slow."""
 
 
-@dataclass(kw_only=True)
-class Changes:
-    """Records to write to the log, and the actions that are allowed once they are written."""
-
-    progress: list[Progress] = field(default_factory=list)
-    expired_job_ids: list[str] = field(default_factory=list)
-    """Jobs past their retention, whose records are deleted."""
-    placed: list[Assignment] = field(default_factory=list)
-    """New assignments, to be started once they are recorded."""
-    acknowledgements: list[Acknowledgement] = field(default_factory=list)
-    """Ends of runs that workers may discard once they are recorded."""
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether there is nothing to write."""
-        return not (self.progress or self.expired_job_ids or self.acknowledgements)
-
-
 class Dispatcher:
     """Scheduling decisions of one owner, without I/O or access to a clock.
 
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -7,7 +7,8 @@
 from collections.abc import Coroutine
 from typing import Any, Final
 
-from zinniaweir.dispatch.dispatcher import Changes, Dispatcher
+from zinniaweir.dispatch.changes import Changes
+from zinniaweir.dispatch.dispatcher import Dispatcher
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.messages import StartAnswer, TaskId
 from zinniaweir.dispatch.time_limits import TimeLimits
