settings: a check finds errors and entries without effect before a change

Cause: operators learned of a rule that a change breaks only from the refusal, one kind of rule at a time, and nothing told them of entries that are valid but never match. Change: settings/lint.py reports all broken rules of types and relations together, the guarantees that do not fit, aliases that resolve to something else, racks and failure domains without references, services and policies that no job reaches, and queue limits below a burst.

--- a/packages/settings/src/zinniaweir/settings/checks.py
+++ b/packages/settings/src/zinniaweir/settings/checks.py
@@ -91,6 +91,11 @@
     return [problem(path, host, "hosts are IP addresses")]
 
 
+def unknown_member_rule(kind: str) -> str:
+    """Return the rule that a reference to a member that does not exist breaks."""
+    return f"no {kind} has this name"
+
+
 def _size_problems(new: Settings) -> Iterator[Problem]:
     sizes = {
         "topology/failure_domains": len(new.topology.failure_domains),
@@ -121,7 +126,7 @@
 ) -> list[Problem]:
     if name is None or name in known:
         return []
-    return [problem(path, name, f"no {kind} has this name")]
+    return [problem(path, name, unknown_member_rule(kind))]
 
 
 def _topology_problems(new: Settings, old: Settings) -> Iterator[Problem]:
--- a/packages/settings/tests/test_settings_checks.py
+++ b/packages/settings/tests/test_settings_checks.py
@@ -13,7 +13,10 @@
 from zinniaweir.settings.checks import no_guarantee_check
 from zinniaweir.settings.errors import SettingsError
 from zinniaweir.settings.fold import SettingsFold
+from zinniaweir.settings.lint import LintReport, lint
 from zinniaweir.settings.paths import parse_path
+from zinniaweir.settings.plain import problem
+from zinniaweir.settings.tree import with_value
 from zinniaweir.settings.yaml_text import load_yaml
 from zinniaweir.wire.records import SettingsPut
 
@@ -120,6 +123,9 @@
     assert all(problem.rule for problem in problems)
     assert not fold.apply(2, "x", 0.0, put).accepted
     assert fold.model is before
+    segments, path_problems = parse_path(path)
+    found = lint(BASE, segments, value, check_guarantees=no_guarantee_check).errors
+    assert path_problems or {p.path for p in problems} <= {p.path for p in found}
 
 
 def test_all_problems_of_one_put_are_named_at_once() -> None:
@@ -142,6 +148,53 @@
     ]
 
 
+UPSTREAM = {"host": "127.0.0.1", "port": 9, "failure_domain": "north"}
+QUEUE = {"requests_per_second": 5, "queued_requests": 4}
+USED: dict[str, Any] = BASE | {
+    "services": {"permits": {"upstreams": {"u1": UPSTREAM}}},
+    "customers": {"a": {"aliases": ["aa"], "jobs": {"renew": {}}}},
+}
+"""A tree of which every entry has an effect."""
+WARNINGS = [
+    ("topology/failure_domains/south", {"region": "santiago"}, "topology/failure_domains/south"),
+    ("topology/workers", {}, "topology/racks/n1"),
+    ("services/fines", {"upstreams": {"u2": UPSTREAM}}, "services/fines"),
+    ("services/permits/upstreams", {}, "services/permits/upstreams"),
+    ("customers/a/jobs", {"x": {}}, "policy/services_for_jobs/renew"),
+    ("customers/b", {"aliases": ["caf\u00e9", "cafe\u0301"]}, "customers/b/aliases/1"),
+    ("customers/a/jobs/renew/aliases", [" Renew"], "customers/a/jobs/renew/aliases/0"),
+    ("customers/a/limits", QUEUE, "customers/a/limits/queued_requests"),
+]
+
+
+@pytest.mark.parametrize(("path", "value", "where"), WARNINGS)
+def test_entry_without_effect_is_a_warning(path: str, value: Any, where: str) -> None:
+    """Guards against entries that never match, and against findings that a change did not cause."""
+    segments = parse_path(path)[0]
+    report = lint(USED, segments, value, check_guarantees=no_guarantee_check)
+    assert where in [found.path for found in report.warnings]
+    assert not report.errors
+    tree = with_value(USED, segments, value)
+    assert lint(USED, (), tree, check_guarantees=no_guarantee_check) == report
+    other = lint(tree, ("policy", "ledger_ttl_hours"), 5, check_guarantees=no_guarantee_check)
+    assert [found for found in other.warnings if not found.path.startswith("policy/")] == []
+
+
+def test_every_kind_of_error_is_named_at_once() -> None:
+    """Guards against one error that hides another, and against follow-up errors of one."""
+    tree = copy.deepcopy(USED)
+    tree["customers"]["a"]["limits"] = {"burst": 5}
+    unfit = problem("customers/a/guarantees/0", "1 x 2 members", "does not fit")
+    report = lint(USED, (), tree, check_guarantees=lambda settings: [unfit])
+    paths = [found.path for found in report.errors]
+    assert paths == ["customers/a/limits/burst", "customers/a/guarantees/0"]
+    tree["topology"]["racks"]["n1"] = {"failure_domain": 7}
+    report = lint(USED, (), tree, check_guarantees=lambda settings: [unfit])
+    paths = [found.path for found in report.errors]
+    assert paths == ["topology/racks/n1/failure_domain", "customers/a/limits/burst"]
+    assert lint(USED, (), USED, check_guarantees=no_guarantee_check) == LintReport()
+
+
 ALIAS_BOMB = "a: &a [x, x, x, x, x, x, x, x, x]\n" + "".join(
     f"{n}: &{n} [{', '.join(['*' + chr(ord(n) - 1)] * 9)}]\n" for n in "bcdefghi"
 )
