ctl: settings check reports errors, warnings and differences of a file

Cause: a configuration could be looked at before it is sent only with `settings diff`, which needs a server, stops at the first kind of error and knows no warnings. Change: `zinniaweir settings check FILE` with `--path` and `--against FILE`. It sends nothing and needs no server with `--against`, so a missing server is now an error at the first call and not when the session is made. Exit code 9 is new and stands for warnings without errors. The page of the settings has an example whose output a test compares.

--- a/docs/test_operator_pages.py
+++ b/docs/test_operator_pages.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import io
 import re
 import shlex
 from pathlib import Path
 
 import pytest
+from rich.console import Console
 
 from zinniaweir.ctl.app import app
+from zinniaweir.ctl.main import run_command
+from zinniaweir.ctl.session import Environment
 
 PAGES = sorted((Path(__file__).parent / "operators").glob("*.md"))
 BLOCK = re.compile(r"^```console\n(.*?)^```$", re.MULTILINE | re.DOTALL)
 
+NAMED_FILE = re.compile(r"^```yaml\n# (\S+\.yaml)\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+TEXT = re.compile(r"^```text\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+
 
 def commands(page: Path) -> list[str]:
     """Return the lines of all console blocks of a page."""
@@ -54,3 +61,17 @@
         "reading-why",
         "settings",
     }
+
+
+def test_example_of_a_checked_file_prints_what_the_page_shows(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an example whose findings the program no longer reports."""
+    page = next(page for page in PAGES if page.stem == "settings")
+    for name, content in NAMED_FILE.findall(page.read_text()):
+        (tmp_path / name).write_text(content)
+    monkeypatch.chdir(tmp_path)
+    line = next(line for line in commands(page) if "--against in-force.yaml" in line)
+    out = Console(file=io.StringIO(), markup=False, highlight=False, emoji=False)
+    assert run_command(tokens(line)[2:], Environment(console=out, errors=out)) == 2
+    assert [out.file.getvalue()] == TEXT.findall(page.read_text())
--- a/golden/tests/test_cli_sessions.py
+++ b/golden/tests/test_cli_sessions.py
@@ -17,6 +17,7 @@
     from syrupy.assertion import SnapshotAssertion
 
 PAYLOAD = ("--payload", "-")
+CHECK = ("settings", "check", "-")
 pytestmark = pytest.mark.xdist_group("golden_cli")
 
 
@@ -68,6 +69,9 @@
     """Guards against changed output for operators before and after a change of settings."""
     session.cli("settings", "get", "customers/catalogue")
     session.cli("settings", "diff", "customers/catalogue", "{name_correction: true}")
+    changed = "aliases: [Catalogue]\nlimits: {burst: 5}\nname_correction: true"
+    session.cli(*CHECK, "--path", "customers/catalogue", stdin=changed)
+    session.cli(*CHECK, "--path", "customers/catalogue", "--json", stdin="name_correction: true")
     session.cli("settings", "set", "customers/catalogue", "{name_correction: true}", "--note", "ok")
     session.cli("settings", "set", "customers/catalogue/limits", "{burst: -1}")
     session.cli("settings", "set", "customers/catalogue/limits", "{burst: -1}", "--json")
--- a/packages/ctl/src/zinniaweir/ctl/exits.py
+++ b/packages/ctl/src/zinniaweir/ctl/exits.py
@@ -18,6 +18,8 @@
 UNREACHABLE: Final = 7
 """No server answered; the call took no effect."""
 NOT_FOUND: Final = 8
+WARNINGS: Final = 9
+"""A checked configuration breaks no rule, but part of it has no effect or contradicts another."""
 INTERRUPTED: Final = 130
 """Code that shells report for a program ended by Ctrl+C."""
 
@@ -44,7 +46,7 @@
 
 HELP: Final = (
     "Exit codes: 0 done, 2 usage or invalid, 3 refused (not run), 4 conflict, 5 unknown, "
-    "6 failed, 7 unreachable, 8 not found."
+    "6 failed, 7 unreachable, 8 not found, 9 warnings."
 )
 
 
--- a/packages/ctl/src/zinniaweir/ctl/main.py
+++ b/packages/ctl/src/zinniaweir/ctl/main.py
@@ -56,8 +56,7 @@
     except KeyboardInterrupt:
         return _report(output, exits.INTERRUPTED, "interrupted", "")
     finally:
-        session.output.end_progress()
-        session.client.close()
+        session.close()
 
 
 def run() -> None:
--- a/packages/ctl/src/zinniaweir/ctl/session.py
+++ b/packages/ctl/src/zinniaweir/ctl/session.py
@@ -82,21 +82,34 @@
         """Initialize the client and the output without calling a server.
 
         Raises:
-            UsageError: If no server is named or its address is invalid.
+            UsageError: If the address of a server is invalid.
         """
         servers = tuple(_server_url(part) for part in options.server.split(",") if part.strip())
-        if not servers:
-            raise UsageError("name a server with --server or ZINNIAWEIR_SERVER")
         self.environment = environment
         """Consoles, network, clock and user of the program."""
-        self.client = Client(
-            servers=servers, transport=environment.transport, read_timeout_seconds=options.timeout
-        )
-        """Client for the servers."""
         self.output = Output(
             console=environment.console, errors=environment.errors, as_json=options.json
         )
         """Writer of results, refusals and progress."""
+        self._client = Client(
+            servers=servers, transport=environment.transport, read_timeout_seconds=options.timeout
+        )
+
+    @property
+    def client(self) -> Client:
+        """Client for the servers.
+
+        Raises:
+            UsageError: If no server is named.
+        """
+        if not self._client.servers:
+            raise UsageError("name a server with --server or ZINNIAWEIR_SERVER")
+        return self._client
+
+    def close(self) -> None:
+        """Remove the progress spinner and close all connections."""
+        self.output.end_progress()
+        self._client.close()
 
     def read_bytes(self, file: str) -> bytes:
         """Return the content of a file, or of standard input for `-`.
--- a/packages/ctl/src/zinniaweir/ctl/settings_commands.py
+++ b/packages/ctl/src/zinniaweir/ctl/settings_commands.py
@@ -6,11 +6,15 @@
 from typing import Annotated, Any, Final
 from urllib.parse import quote
 
+import msgspec
 from cyclopts import App, Parameter
 
+from zinniaweir.ctl import exits
 from zinniaweir.ctl.output import format_time
 from zinniaweir.ctl.puts import put_settings, settings_path, settings_url, version_of
 from zinniaweir.ctl.session import FileName, Options, Session, UsageError
+from zinniaweir.settings.lint import LintReport, lint
+from zinniaweir.settings.paths import parse_path
 from zinniaweir.settings.yaml_text import load_yaml
 
 app = App(name="settings", help="Read, review and change settings under paths.")
@@ -104,6 +108,51 @@
     return session.write_answer(answer, lambda body: _render_outcome(session, body))
 
 
+@app.command
+def check(
+    file: FileName,
+    *,
+    path: str = "/",
+    against: FileName = "",
+    options: Options | None = None,
+    session: InjectedSession,
+) -> int:
+    """Check a configuration before it is sent: errors, warnings and differences.
+
+    The exit code is 2 if the configuration breaks a rule, 9 if there are only warnings, else 0.
+
+    Args:
+        file: YAML or JSON file with the new value; - is standard input.
+        path: Settings path of the value; the whole tree if it is left out.
+        against: File of the whole tree in force, instead of the one that the server has; an empty
+            file stands for no settings.
+        options: Options of every command.
+        session: The running command.
+    """
+    # Imported here because the scheduling core takes a while to load.
+    from zinniaweir.scheduler.core_inputs import guarantee_problems
+
+    place = parse_path(settings_path(path))[0]
+    new = session.read_yaml(file)
+    if new is None:
+        raise UsageError(f"{file}: no value")
+    if against:
+        in_force, name = session.read_yaml(against), against
+    else:
+        answer = session.client.get(settings_url(""))
+        if answer.code not in (exits.DONE, exits.NOT_FOUND):
+            return session.write_answer(answer, lambda body: None)
+        in_force, name = answer.body.get("value"), f"version {answer.body.get('version', 0)}"
+    report = lint(in_force or {}, place, new, check_guarantees=guarantee_problems)
+    if session.output.as_json:
+        session.output.json({**msgspec.to_builtins(report), "against": name})
+    else:
+        _render_report(session, report, name)
+    if report.errors:
+        return exits.INVALID
+    return exits.WARNINGS if report.warnings else exits.DONE
+
+
 @app.command
 def history(
     path: str = "/", *, limit: int = 20, options: Options | None = None, session: InjectedSession
@@ -164,3 +213,16 @@
         output.line("reviewed; nothing was changed")
     else:
         output.line(f"{body.get('state')}, version {body.get('version')}")
+
+
+def _render_report(session: Session, report: LintReport, name: str) -> None:
+    output = session.output
+    for kind, problems in (("error", report.errors), ("warning", report.warnings)):
+        for found in problems:
+            output.line(f"{kind} {found.path}: {found.value}: {found.rule}")
+    for line in report.diff:
+        output.line(line)
+    compared = "differs from" if report.diff else "does not differ from"
+    output.line(
+        f"errors: {len(report.errors)}, warnings: {len(report.warnings)}, {compared} {name}"
+    )
--- a/packages/ctl/tests/test_ctl_outcomes.py
+++ b/packages/ctl/tests/test_ctl_outcomes.py
@@ -239,3 +239,26 @@
     assert entries.run("cancel")[0] == 2
     assert entries.run("jobs", server="ftp://x")[0] == 2
     assert entries.calls == []
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "expected"),
+    [
+        ("customers/parish", {"limits": {"queued_jobs": 6}}, 0),
+        ("customers/parish", {"guarantees": [{"members": 9, "accelerators": 1}]}, 2),
+        ("customers/parish", None, 2),
+        ("topology/racks/s1", {"failure_domain": "south"}, 9),
+    ],
+)
+def test_check_tells_errors_from_warnings(
+    entries: Any, tmp_path: Path, path: str, value: Any, expected: int
+) -> None:
+    """Guards against scripts that send a broken file, or that take a missing server for success."""
+    force, file = tmp_path / "force.yaml", tmp_path / "file.json"
+    force.write_text(json.dumps(TREE))
+    file.write_text(json.dumps(value))
+    command = ("settings", "check", str(file), "--path", path)
+    assert entries.run(*command, "--against", str(force), server="")[0] == expected
+    assert entries.run(*command, server="")[0] == 2
+    entries.replies["GET /v1/settings/"] = (429, {"reason": "rate"})
+    assert entries.run(*command)[0] == (3 if value else 2)
