entry, settings, docs: requests of the entry process share a budget of memory

Each connection could hold a body of 1 MB, or 1 MB of requests sent ahead, without a common limit: 150 clients with held-back bodies took 226 to 236 MB. connection_budget.py, which has no sockets, bounds the bytes of all requests to an eighth of the memory (new setting memory_mb) and the connections of one address (max_connections_per_address). The connection that held most for longest is refused with 503, never one whose request is in flight. Nothing is read from a connection while its request is in flight or its answer waits to be read, and a client that does not read it in receive_seconds is closed. JSON bodies are bounded to 100,000 items before objects are built. Refusals are logged once a second for each reason (http_refused).

--- a/packages/entry/src/zinniaweir/entry/api.py
+++ b/packages/entry/src/zinniaweir/entry/api.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from zinniaweir.entry.answers import Answer, json_answer, not_run
+from zinniaweir.entry.json_items import MAX_ITEMS, has_too_many_items
 from zinniaweir.telemetry.logs import log
 
 if TYPE_CHECKING:
@@ -39,6 +40,8 @@
         Raises:
             BadRequestError: If the body does not match the type.
         """
+        if has_too_many_items(self.body):
+            raise BadRequestError(f"expected at most {MAX_ITEMS} items")
         try:
             return msgspec.json.decode(self.body, type=message_type)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
--- a/packages/entry/src/zinniaweir/entry/http.py
+++ b/packages/entry/src/zinniaweir/entry/http.py
@@ -6,17 +6,22 @@
 from __future__ import annotations
 
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from socket import SHUT_RDWR
 from typing import TYPE_CHECKING, Any, ClassVar, Final
 
 from circuits import Component, Event, Timer, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
 from circuits.net.events import close, write
 from circuits.web.events import response
 from circuits.web.headers import Headers
 from circuits.web.wrappers import Request, Response
 
 from zinniaweir.entry.answers import Answer, not_run
+from zinniaweir.entry.connection_budget import HANDLING_COPIES, ConnectionBudget, Holding
 from zinniaweir.entry.http_reader import (
     MAX_MESSAGE_BYTES,
     BadHttpError,
@@ -72,6 +77,8 @@
     """State of one client connection."""
 
     sock: socket
+    holding: Holding
+    """What the connection takes from the limits that all share."""
     timeout_started_at: float
     """Monotonic time from which the current timeout counts.
 
@@ -84,10 +91,22 @@
     is_refused: bool = False
     """Whether the connection was refused; its input is then ignored."""
 
+    is_sending: bool = False
+    """Whether the client has not read the whole of the last answer."""
+    answer_bytes: int = 0
+    """Size of the last answer."""
+    is_paused: bool = False
+    """Whether nothing is read from the connection."""
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether the connection has a request whose answer the client has not read."""
+        return self.current_request is not None or self.is_sending
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection has neither a request nor a part of one."""
-        return self.current_request is None and not self.is_refused and self.reader.is_idle
+        return not self.is_busy and not self.is_refused and self.reader.is_idle
 
 
 class HttpFrontend(Component):
@@ -105,6 +124,7 @@
         submit: Callable[[HttpRequest, Callable[[Answer], None]], None],
         on_stop: Callable[[Callable[[], None]], None],
         on_refused: Callable[[str], None],
+        budget: ConnectionBudget,
         max_connections: int,
         idle_seconds: float,
         receive_seconds: float,
@@ -115,6 +135,7 @@
             submit: Submits a request; its second argument is called with the answer.
             on_stop: Begins the planned stop; its argument is called when the drain has ended.
             on_refused: Called with the reason of each refusal of a connection.
+            budget: Limits of memory and of connections of one address.
             max_connections: Maximum number of open connections; above it, an idle connection is
                 closed or the new one refused.
             idle_seconds: Time that a connection may stay open without a request.
@@ -124,6 +145,7 @@
         self._submit = submit
         self._on_stop = on_stop
         self._on_refused = on_refused
+        self._budget = budget
         self._max_connections = max_connections
         self._idle_seconds = idle_seconds
         self._receive_seconds = receive_seconds
@@ -134,10 +156,13 @@
 
     @handler("connect", channel="web", priority=10.0)
     def _on_connect(self, sock: socket, *address: Any) -> None:
-        connection = _Connection(sock=sock, timeout_started_at=time.monotonic())
+        holding, is_crowded = self._budget.open(str(address[0]) if address else "")
+        connection = _Connection(sock=sock, holding=holding, timeout_started_at=time.monotonic())
         is_full = len(self._connections) >= self._max_connections
         self._connections[sock] = connection
-        if is_full and not self._close_longest_idle(connection):
+        if is_crowded and not self._close_longest_idle(connection, holding.address):
+            self._refuse(connection, "too_many_connections_per_address")
+        elif is_full and not is_crowded and not self._close_longest_idle(connection):
             self._refuse(connection, "too_many_connections")
 
     @handler("read", channel="web", priority=10.0)
@@ -149,17 +174,33 @@
         if connection.is_idle:
             connection.timeout_started_at = time.monotonic()
         connection.reader.feed(data)
-        if connection.current_request is None:
+        if not connection.is_busy:
             self._submit_next(connection)
-        elif connection.reader.received_bytes > MAX_MESSAGE_BYTES:
-            self._on_refused("pipeline_too_long")
+            return
+        # Nothing more is read before the client has its answer.
+        self._pause(connection)
+        if connection.reader.received_bytes > MAX_MESSAGE_BYTES:
+            self._count_refusal(connection, "pipeline_too_long")
             self._close(connection)
+        else:
+            self._hold(connection)
 
     @handler("disconnect", channel="web")
     def _on_disconnect(self, sock: socket) -> None:
-        self._connections.pop(sock, None)
+        connection = self._connections.pop(sock, None)
+        if connection is not None:
+            self._budget.close(connection.holding)
         self._stop_if_done()
 
+    @handler("_write", channel="web", priority=-10.0)
+    def _on_written(self, sock: socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None or not connection.is_sending or self._poller.isWriting(sock):
+            return
+        connection.is_sending = False
+        connection.timeout_started_at = time.monotonic()
+        self._submit_next(connection)
+
     @handler("error", channel="web")
     def _on_socket_error(self, *args: Any) -> None:
         """Ignore errors of a single connection, since a `disconnect` event follows."""
@@ -172,6 +213,10 @@
             if connection.is_refused:
                 if elapsed > LINGER_TIMEOUT_SECONDS:
                     self._close(connection)
+            elif connection.is_sending:
+                if elapsed > self._receive_seconds:
+                    self._count_refusal(connection, "slow_reader")
+                    self._abort(connection)
             elif connection.current_request is None and connection.reader.is_idle:
                 if elapsed > self._idle_seconds:
                     self._close(connection)
@@ -227,9 +272,13 @@
             return
         is_last = connection.current_request.is_last
         connection.current_request = None
+        connection.holding.is_in_flight = False
         connection.timeout_started_at = time.monotonic()
         if is_last:
             self._close(connection)
+        elif self._poller.isWriting(connection.sock):
+            connection.is_sending = True
+            self._hold(connection)
         else:
             self._submit_next(connection)
 
@@ -241,9 +290,14 @@
             self._refuse(connection, error.reason, error.detail)
             return
         if received is None:
-            if connection.reader.wants_continue():
-                self.fire(write(connection.sock, CONTINUE_RESPONSE), "web")
+            if self._hold(connection):
+                self._resume(connection)
+                if connection.reader.wants_continue():
+                    self.fire(write(connection.sock, CONTINUE_RESPONSE), "web")
+            return
+        if not self._hold(connection, HANDLING_COPIES * len(received.request.body)):
             return
+        connection.holding.is_in_flight = True
         connection.current_request = received
         self._submit(
             received.request, lambda answer: self.fire(AnswerReady(connection, answer), "web")
@@ -251,9 +305,11 @@
 
     def _refuse(self, connection: _Connection, reason: str, detail: str = "") -> None:
         """Answer with a refusal; the connection is closed after a delay."""
-        self._on_refused(reason)
+        self._count_refusal(connection, reason)
         answer = not_run(reason, detail)
         connection.is_refused = True
+        connection.reader = RequestReader()
+        self._budget.hold(connection.holding, 0, time.monotonic())
         connection.timeout_started_at = time.monotonic()
         head = (
             f"HTTP/1.1 {answer.status} {HTTPStatus(answer.status).phrase}\r\n"
@@ -281,11 +337,71 @@
         if received.is_last:
             res.headers["Connection"] = "close"
         res.body = answer.body
+        connection.answer_bytes = len(answer.body)
         self.fire(response(res), "web")
 
-    def _close_longest_idle(self, exclude: _Connection) -> bool:
-        """Close the connection that has been idle longest; return whether there was one."""
-        idle = [c for c in self._connections.values() if c.is_idle and c is not exclude]
+    def _hold(self, connection: _Connection, in_flight_bytes: int = 0) -> bool:
+        """Account for what a connection holds; return False if it had to make way itself."""
+        now = time.monotonic()
+        held_bytes = connection.reader.held_bytes + in_flight_bytes
+        if connection.is_sending:
+            held_bytes += connection.answer_bytes
+        victim = self._budget.hold(connection.holding, held_bytes, now)
+        while victim is not None:
+            found = next(c for c in self._connections.values() if c.holding is victim)
+            if found.is_sending:
+                self._count_refusal(found, "bytes_held")
+                self._abort(found)
+            else:
+                self._refuse(found, "bytes_held")
+            if found is connection:
+                return False
+            victim = self._budget.hold(connection.holding, held_bytes, now)
+        return True
+
+    def _count_refusal(self, connection: _Connection, reason: str) -> None:
+        """Count a refusal, and log it at a bounded rate."""
+        self._on_refused(reason)
+        now = time.monotonic()
+        count = self._budget.report(reason, now)
+        if count:
+            log(
+                "http_refused",
+                reason=reason,
+                client=connection.holding.address,
+                held_bytes=connection.holding.held_bytes,
+                seconds=round(now - connection.timeout_started_at, 3),
+                count=count,
+                all_held_bytes=self._budget.held_bytes,
+                connections=len(self._connections),
+            )
+
+    @property
+    def _poller(self) -> BasePoller:
+        return findcmp(self.root, BasePoller)
+
+    def _pause(self, connection: _Connection) -> None:
+        if not connection.is_paused:
+            connection.is_paused = True
+            self._poller.removeReader(connection.sock)
+
+    def _resume(self, connection: _Connection) -> None:
+        if connection.is_paused and connection.sock in self._connections:
+            connection.is_paused = False
+            self._poller.addReader(self, connection.sock)
+
+    def _close_longest_idle(self, exclude: _Connection, address: str | None = None) -> bool:
+        """Close the connection that has been idle longest; return whether there was one.
+
+        Args:
+            exclude: A connection that stays open.
+            address: Address of the connections to choose from, any if None.
+        """
+        idle = [
+            c
+            for c in self._connections.values()
+            if c.is_idle and c is not exclude and address in (None, c.holding.address)
+        ]
         if not idle:
             return False
         self._close(min(idle, key=lambda connection: connection.timeout_started_at))
@@ -294,4 +410,12 @@
     def _close(self, connection: _Connection) -> None:
         # Closing a socket twice would make circuits keep a buffer for it forever.
         if self._connections.pop(connection.sock, None) is not None:
+            self._budget.close(connection.holding)
             self.fire(close(connection.sock), "web")
+
+    def _abort(self, connection: _Connection) -> None:
+        """Close a connection although its client has not read the answer."""
+        # circuits would wait until the answer is sent; a socket that is shut down fails to send.
+        with suppress(OSError):
+            connection.sock.shutdown(SHUT_RDWR)
+        self._close(connection)
--- a/packages/entry/src/zinniaweir/entry/http_reader.py
+++ b/packages/entry/src/zinniaweir/entry/http_reader.py
@@ -8,6 +8,8 @@
 import h11
 import msgspec
 
+from zinniaweir.entry.connection_budget import FIELD_BYTES
+
 MAX_HEAD_BYTES: Final = 16_384
 """Maximum size of the request line and the headers."""
 MAX_BODY_BYTES: Final = 1_048_576
@@ -84,6 +86,12 @@
         """Number of bytes received since the last complete request."""
         return self._received_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the next request as far as it has arrived."""
+        fields = 0 if self._head is None else len(self._head.headers)
+        return self._received_bytes + FIELD_BYTES * fields
+
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
         self._received_bytes += len(data)
--- a/packages/entry/src/zinniaweir/entry/main.py
+++ b/packages/entry/src/zinniaweir/entry/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import resource
 import threading
 from pathlib import Path
@@ -23,6 +24,10 @@
 RESERVED_OPEN_FILES: Final = 256
 """File descriptors reserved for upstreams, the scheduler process and the process itself."""
 
+BYTES_PER_MB: Final = 1_000_000
+REQUEST_MEMORY_SHARE: Final = 0.125
+"""Share of the memory for requests that have arrived in part or are in flight."""
+
 app = App(name="zinniaweir-entry", help="Serve HTTP to callers and operators.")
 
 
@@ -56,6 +61,7 @@
         from circuits.core.pollers import EPoll
         from circuits.web import BaseServer
 
+        from zinniaweir.entry.connection_budget import ConnectionBudget
         from zinniaweir.entry.http import HttpFrontend
 
         thread = threading.Thread(target=self._run_loop, name="asyncio", daemon=True)
@@ -68,6 +74,10 @@
             submit=self._submit,
             on_stop=self._drain,
             on_refused=self._count_refusal,
+            budget=ConnectionBudget(
+                max_held_bytes=_held_bytes_limit(self._settings.memory_mb),
+                max_per_address=self._settings.max_connections_per_address,
+            ),
             max_connections=_connection_limit(self._settings.max_connections),
             idle_seconds=self._settings.idle_seconds,
             receive_seconds=self._settings.receive_seconds,
@@ -95,6 +105,12 @@
         future.add_done_callback(lambda _: on_drained())
 
 
+def _held_bytes_limit(memory_mb: int) -> int:
+    """Return the bytes that requests may hold on a machine, 0 MB for the one that is present."""
+    present = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return int(REQUEST_MEMORY_SHARE * (memory_mb * BYTES_PER_MB or present))
+
+
 def _connection_limit(wanted: int) -> int:
     """Return the wanted number of connections, lowered to what the open-files limit allows."""
     open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/packages/settings/src/zinniaweir/settings/process.py
+++ b/packages/settings/src/zinniaweir/settings/process.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated, Any, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, Final, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -22,6 +22,9 @@
 
 T = TypeVar("T", bound="ProcessSettings")
 
+MIN_ENTRY_MEMORY_MB: Final = 80
+"""Smallest memory of an entry process, which idles at 50 MB and holds requests of up to 1 MB."""
+
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Address of a process."""
@@ -74,6 +77,10 @@
 
     The default is above `max_in_flight` together with its queue, which is four times as long.
     """
+    max_connections_per_address: Annotated[int, Meta(ge=1, le=100_000)] = 4_500
+    """Maximum open connections from one address, which may be a load balancer."""
+    memory_mb: Annotated[int, Meta(ge=0, le=10_000_000)] = 0
+    """Memory of the machine, an eighth of which requests may hold; 0 is what is present."""
     idle_seconds: Annotated[float, Meta(gt=0, le=3_600)] = 60.0
     """How long a connection may stay open without a request."""
     receive_seconds: Annotated[float, Meta(gt=0, le=3_600)] = 15.0
@@ -152,6 +159,8 @@
 
 
 def _entry_problems(settings: EntrySettings) -> Iterator[Problem]:
+    if 0 < settings.memory_mb < MIN_ENTRY_MEMORY_MB:
+        yield problem("memory_mb", settings.memory_mb, f"0 or at least {MIN_ENTRY_MEMORY_MB}")
     if settings.drain_notice_seconds >= settings.drain_limit_seconds:
         rule = f"below `drain_limit_seconds` ({settings.drain_limit_seconds:g})"
         yield problem("drain_notice_seconds", settings.drain_notice_seconds, rule)
