--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+from zinniaweir.dispatch.canaries import Canaries
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.guarantees import GUARANTEED_PRIORITY
 from zinniaweir.dispatch.headroom import Headroom, KeptWorkers
@@ -26,8 +27,7 @@
 from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import CAUTIOUS, RunTimes
 from zinniaweir.dispatch.shortlist import Shortlist
-from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
-from zinniaweir.workloads.losses import is_seen_to_work
+from zinniaweir.dispatch.units import Assignment, Unit
 from zinniaweir.workloads.spec import StepSpec
 
 MAX_RESERVATIONS: Final = 4
@@ -157,8 +157,7 @@
         self._allowed: dict[tuple[object, ...], list[Worker]] = {}
         self._with_capacity: dict[tuple[object, ...], list[Worker]] = {}
         self._ends: dict[str, float] = {}
-        self._canaries: dict[str, Unit | None] = {}
-        self._workers_by_name = {worker.name: worker for worker in self._usable}
+        self._canaries = Canaries(self._usable)
         self._rack_capacities: dict[tuple[object, ...], int] = {}
         self._rack_use: dict[str, int] = defaultdict(int)
         for worker in self._usable:
@@ -178,7 +177,7 @@
             rank: The rank of its job.
             covered: Whether its job is covered by its customer's guarantee.
         """
-        if self._waits_for_retry(unit) or self._waits_for_sibling(unit):
+        if self._waits_for_retry(unit) or self._canaries.holds_back(unit):
             return
         if self._waits_for_quota(unit, rank, covered=covered):
             return
@@ -371,34 +370,6 @@
             )
         return not (self._idle and self._has_waited_without_running(unit, MAX_RETRY_WAIT_SECONDS))
 
-    def _waits_for_sibling(self, unit: Unit) -> bool:
-        """Return whether a unit waits until another of its job shows that they crash no worker.
-
-        Units of a job are alike. If one was lost with its worker, and none has run well since, the
-        one with the most losses runs first.
-        """
-        job = unit.job
-        if job.job_id not in self._canaries:
-            self._canaries[job.job_id] = _choose_canary(job)
-        canary = self._canaries[job.job_id]
-        if canary is None or canary is unit:
-            return False
-        return unit.isolated or not self._runs_well(job)
-
-    def _runs_well(self, job: OwnedJob) -> bool:
-        """Return whether a unit of a job is done, or has run without harm to its workers."""
-        if any(unit.done for unit in job.units):
-            return True
-        for assignment in job.assignments:
-            worker = self._workers_by_name.get(assignment.worker)
-            if (
-                worker is not None
-                and assignment.started_at is not None
-                and is_seen_to_work(worker.alive_at - assignment.started_at)
-            ):
-                return True
-        return False
-
     def _needs_empty_workers(self, unit: Unit) -> bool:
         """Return whether a unit may only run where nothing else does."""
         if not unit.isolated:
@@ -522,12 +493,6 @@
         return end
 
 
-def _choose_canary(job: OwnedJob) -> Unit | None:
-    """Return the unit of a job that was lost with its workers most often, None if none was."""
-    lost = [unit for unit in job.units if unit.losses and not unit.done]
-    return max(lost, key=lambda unit: len(unit.losses), default=None)
-
-
 def _placement_key(unit: Unit) -> tuple[object, ...]:
     """Return a key that units share if either all or none of them can be placed."""
     step = unit.step
