dispatch: queues that slow each other down are learned and kept apart

Cause: tasks of two queues may slow each other down on one worker, and placement does not know it. Change: rates of sibling tasks with and without a neighbouring queue are compared, a pair is judged after samples from several jobs and workers, and workers with a judged neighbour come later in placement. Nothing is computed while no pair is judged.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -123,6 +123,7 @@
             retries=self._retries,
             run_times=self._run_times,
             speeds=self._speeds,
+            interference=self._runs.interference,
             time_limits=time_limits,
             apart_from=self._runs.suspects.apart_from,
             inherited=self._inherited,
@@ -468,6 +469,7 @@
         self._runs.changed, self._planned_at = False, now
         self._expiry.apply(now)
         self._speeds.refresh(now=now)
+        self._runs.interference.refresh(now=now)
         self._hold_units_with_late_starts(now)
         for unit in units_to_move(
             self._fleet,
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -130,6 +130,7 @@
         if row.percent != assignment.percent or not assignment.progress_at:
             assignment.percent, assignment.progress_at = row.percent, now
             self._runs.speeds.record_progress(worker, assignment, now=now)
+            self._runs.interference.record_progress(worker, assignment, now=now)
         elif (
             row.percent
             and now - assignment.progress_at > STALL_TIMEOUT_SECONDS
@@ -138,6 +139,7 @@
         ):
             self._health.record_stall(worker.name, now=now)
             self._runs.speeds.exclude(assignment)
+            self._runs.interference.exclude(assignment)
 
     def _handle_ended_run(self, worker: Worker, row: EndedRun, now: float) -> None:
         if row.number <= worker.applied_end:
--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -91,6 +91,7 @@
     rack_use: Mapping[str, int],
     penalty: Callable[[str], float] = lambda _: 0.0,
     speed_level: Callable[[Worker], int] | None = None,
+    conflicts: Callable[[Worker], int] | None = None,
     spread_allowed: bool = False,
     empty_only: bool = False,
 ) -> list[Worker] | None:
@@ -107,6 +108,9 @@
             units get fast workers, other units those that are left, and gangs get workers of like
             speed. It decides only between workers with equal failures and distance from the
             data, so no unit waits or spreads for it.
+        conflicts: Returns 1 for a worker with work that slows the unit down, or is slowed down by
+            it, else 0; None if nothing is known to. It decides only between workers with equal
+            failures and distance from the data.
         spread_allowed: Whether a rack-local gang may use several racks.
         empty_only: Whether only workers without any task may be used.
 
@@ -119,7 +123,8 @@
         if count > 0:
             level = speed_level(worker) if speed_level is not None else 0
             rack_used = rack_use.get(worker.entry.rack, 0)
-            cost = _cost(unit, worker, penalty(worker.name), rack_used, level)
+            conflict = conflicts(worker) if conflicts is not None else 0
+            cost = _cost(unit, worker, penalty(worker.name), rack_used, level, conflict)
             candidates.append(Candidate(worker=worker, count=count, cost=cost, level=level))
     needed = len(unit.indexes)
     if sum(candidate.count for candidate in candidates) < needed:
@@ -140,7 +145,7 @@
 
 
 def _cost(
-    unit: Unit, worker: Worker, penalty: float, rack_used: int, level: int
+    unit: Unit, worker: Worker, penalty: float, rack_used: int, level: int, conflict: int
 ) -> tuple[float, ...]:
     step = unit.step
     speed_cost = -level if unit.job.terms.priority == URGENT_PRIORITY else level
@@ -150,6 +155,7 @@
     return (
         penalty,
         float(off_home_rack),
+        float(conflict),
         float(left),
         float(speed_cost),
         -float(rack_used),
--- a/packages/dispatch/src/zinniaweir/dispatch/planning.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning.py
@@ -11,6 +11,7 @@
 from zinniaweir.dispatch.guarantees import covered_jobs
 from zinniaweir.dispatch.headroom import Headroom
 from zinniaweir.dispatch.health import WorkerHealth
+from zinniaweir.dispatch.interference import Interference
 from zinniaweir.dispatch.ordering import Rank, objective_seconds, rank
 from zinniaweir.dispatch.pass_slices import PassSlices
 from zinniaweir.dispatch.planning_pass import PassContext, PlanningPass
@@ -54,6 +55,7 @@
         retries: When failed work is tried again.
         run_times: Expected durations.
         speeds: Speeds of the workers.
+        interference: Queues whose tasks slow each other down.
         time_limits: Durations that limit the age of views.
         apart_from: Returns the workers that a unit should keep away from, since the units there and
             this one were lost with one worker.
@@ -69,6 +71,7 @@
         retries: RetryPolicy,
         run_times: RunTimes,
         speeds: WorkerSpeeds,
+        interference: Interference,
         time_limits: TimeLimits,
         apart_from: Callable[[Unit], set[str]],
         inherited: Iterable[Assignment],
@@ -80,6 +83,7 @@
         self._retries = retries
         self._run_times = run_times
         self._speeds = speeds
+        self._interference = interference
         self._time_limits = time_limits
         self._apart_from = apart_from
         self._reporter = reporter
@@ -229,6 +233,7 @@
             usable_soon=[w for w in self._fleet if self.usable_soon(w)],
             apart_from=self._apart_from,
             speed_level=self._speeds.level if self._speeds.differ else None,
+            conflicts_of=self._interference.conflicts_of,
             quotas=quotas,
             headroom=self._headroom,
             place=shares.counting(place_and_count),
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -93,6 +93,8 @@
     """Returns the workers that a unit should keep away from."""
     speed_level: Callable[[Worker], int] | None
     """Returns the speed level of a worker; None if all workers have the usual speed."""
+    conflicts_of: Callable[[Unit], Callable[[Worker], int] | None]
+    """Returns what tells of a worker if it has work from which a unit should be kept apart."""
     quotas: Quotas
     """Quotas of customers, with what they have in use."""
     headroom: Headroom
@@ -208,6 +210,7 @@
             rack_use=self._rack_use,
             penalty=self._retries.penalty_for(unit, self._health.failed_job_count, now=self._now),
             speed_level=self._context.speed_level,
+            conflicts=self._context.conflicts_of(unit),
             spread_allowed=spread_allowed,
             empty_only=self._needs_empty_workers(unit),
         )
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -9,6 +9,7 @@
 from zinniaweir.dispatch.departure import seconds_after_notice
 from zinniaweir.dispatch.fleet import Fleet, Worker
 from zinniaweir.dispatch.health import WorkerHealth
+from zinniaweir.dispatch.interference import Interference
 from zinniaweir.dispatch.messages import RunEnd
 from zinniaweir.dispatch.ordering import objective_seconds
 from zinniaweir.dispatch.reporting import Reporter
@@ -47,6 +48,8 @@
         """Units that were lost with their workers."""
         self.speeds = speeds
         """Speeds of the workers."""
+        self.interference = Interference(speed=speeds.speed, reporter=reporter)
+        """Queues whose tasks slow each other down."""
         self._fleet = fleet
         self._health = health
         self._retries = retries
@@ -227,6 +230,7 @@
         unit, job = assignment.unit, assignment.unit.job
         if worker is not None:
             self.speeds.record_end(worker, assignment, now=now)
+            self.interference.record_end(worker, assignment, now=now)
         if (
             assignment.started_at is not None
             and not assignment.inherited
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -16,6 +16,8 @@
     "evacuation_began": "a failure domain gets no work",
     "evacuation_ended": "a failure domain gets work again",
     "handler_fault": "a request ended in a fault of the program",
+    "interference_dropped": "two queues are not kept apart any more (`reason`)",
+    "interference_judged": "tasks of a queue are slower beside another queue; they are kept apart",
     "job_closed": "nothing of a job is started any more",
     "job_complete": "all tasks of a job are done",
     "job_failed": "a task or gang failed as often as its queue allows, or crashes its workers",
