--- a/packages/dispatch/src/zinniaweir/dispatch/placement.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/placement.py
@@ -11,10 +11,10 @@
 from zinniaweir.dispatch.ordering import URGENT_PRIORITY
 from zinniaweir.dispatch.units import Unit
 
-CRITERIA_BEFORE_SPEED: Final = 2
+CRITERIA_BEFORE_SPEED: Final = 3
 """Number of criteria of a candidate's cost that count before its speed for a gang."""
-CRITERIA_BEFORE_PACKED_SPEED: Final = 3
-"""Number of those that count before its speed for a single task: tight packing is the third."""
+CRITERIA_BEFORE_PACKED_SPEED: Final = 4
+"""Number of those that count before its speed for a single task: tight packing is the fourth."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -93,6 +93,7 @@
     rack_use: Mapping[str, int],
     penalty: Callable[[str], float] = lambda _: 0.0,
     speed_level: Callable[[Worker], int] | None = None,
+    conflicts: Callable[[Worker], int] | None = None,
     spread_allowed: bool = False,
     empty_only: bool = False,
 ) -> list[Worker] | None:
@@ -109,6 +110,9 @@
             units get fast workers, other units those that are left, and gangs get workers of like
             speed. It decides only between workers with equal failures and distance from the
             data, so no unit waits or spreads for it.
+        conflicts: Returns 1 for a worker with work that slows the unit down, or is slowed down by
+            it, else 0; None if nothing is known to. It decides only between workers with equal
+            failures and distance from the data.
         spread_allowed: Whether a rack-local gang may use several racks.
         empty_only: Whether only workers without any task may be used.
 
@@ -121,7 +125,8 @@
         if count > 0:
             level = speed_level(worker) if speed_level is not None else 0
             rack_used = rack_use.get(worker.entry.rack, 0)
-            cost = _cost(unit, worker, penalty(worker.name), rack_used)
+            conflict = conflicts(worker) if conflicts is not None else 0
+            cost = _cost(unit, worker, penalty(worker.name), rack_used, conflict)
             candidates.append(Candidate(worker=worker, count=count, cost=cost, level=level))
     needed = len(unit.indexes)
     if sum(candidate.count for candidate in candidates) < needed:
@@ -156,7 +161,9 @@
     return (*cost[:CRITERIA_BEFORE_PACKED_SPEED], speed_cost, *cost[CRITERIA_BEFORE_PACKED_SPEED:])
 
 
-def _cost(unit: Unit, worker: Worker, penalty: float, rack_used: int) -> tuple[float, ...]:
+def _cost(
+    unit: Unit, worker: Worker, penalty: float, rack_used: int, conflict: int
+) -> tuple[float, ...]:
     step = unit.step
     off_home_rack = bool(step.home_rack) and worker.entry.rack != step.home_rack
     left = worker.free_accelerators - step.accelerators
@@ -164,6 +171,7 @@
     return (
         penalty,
         float(off_home_rack),
+        float(conflict),
         float(left),
         -float(rack_used),
         float(memory_left),
