entry: look up the poller once, and do not parse after an answer if nothing arrived

The server looked the poller up in the tree of components for each event, and asked the parser for a next request after each answer although no bytes had arrived. The poller is kept after the first look-up, and the parser is asked only if bytes of a next request are there.

--- a/packages/entry/src/zinniaweir/entry/http.py
+++ b/packages/entry/src/zinniaweir/entry/http.py
@@ -141,6 +141,7 @@
             idle_seconds: Time that a connection may stay open without a request.
             receive_seconds: Time that a request may take to arrive in full.
         """
+        self._found_poller: BasePoller | None = None
         super().__init__()
         self._submit = submit
         self._on_stop = on_stop
@@ -199,7 +200,11 @@
             return
         connection.is_sending = False
         connection.timeout_started_at = time.monotonic()
-        self._submit_next(connection)
+        if connection.reader.is_idle:
+            self._hold(connection)
+            self._resume(connection)
+        else:
+            self._submit_next(connection)
 
     @handler("error", channel="web")
     def _on_socket_error(self, *args: Any) -> None:
@@ -378,7 +383,10 @@
 
     @property
     def _poller(self) -> BasePoller:
-        return findcmp(self.root, BasePoller)
+        # The search takes a walk through all components.
+        if self._found_poller is None:
+            self._found_poller = findcmp(self.root, BasePoller)
+        return self._found_poller
 
     def _pause(self, connection: _Connection) -> None:
         if not connection.is_paused:
