--- a/bench/dispatch/main.py
+++ b/bench/dispatch/main.py
@@ -1,4 +1,7 @@
-"""Measure the dispatcher's decisions under load; `python -m bench dispatch [--seeds N]`."""
+"""Measure the dispatcher's decisions under load; `python -m bench dispatch [--seeds N]`.
+
+`python -m bench.dispatch.neighbours` measures tasks that slow each other down.
+"""
 
 from __future__ import annotations
 
--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -60,6 +60,11 @@
 """
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
+MAX_APART_SHARE: Final = 0.6
+"""Share of the accelerators in use up to which queues that slow each other down are kept apart.
+
+In a fuller cluster it would leave large gangs without whole workers.
+"""
 LARGE_TASK_SHARE: Final = 0.5
 """A single task that needs more than this share of a worker gets a reservation."""
 
@@ -154,6 +159,7 @@
         total = sum(w.entry.accelerators for w in self._usable)
         used = sum(w.used_accelerators for w in self._usable)
         self._idle = used < IDLE_CLUSTER_SHARE * total
+        self._keeps_apart = used <= MAX_APART_SHARE * total
         self._unplaceable: set[tuple[object, ...]] = set()
         self._reservations: list[Reservation] = []
         self._allowed: dict[tuple[object, ...], list[Worker]] = {}
@@ -210,7 +216,7 @@
             rack_use=self._rack_use,
             penalty=self._retries.penalty_for(unit, self._health.failed_job_count, now=self._now),
             speed_level=self._context.speed_level,
-            conflicts=self._context.conflicts_of(unit),
+            conflicts=self._context.conflicts_of(unit) if self._keeps_apart else None,
             spread_allowed=spread_allowed,
             empty_only=self._needs_empty_workers(unit),
         )
--- a/packages/dispatch/tests/test_interference.py
+++ b/packages/dispatch/tests/test_interference.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.interference import SAMPLE_LIFETIME_SECONDS, Interference
@@ -11,7 +11,10 @@
 from zinniaweir.dispatch.units import Assignment, OwnedJob, Unit
 from zinniaweir.workloads.spec import StepSpec
 
-from .conftest import job, worker_entry
+from .conftest import Cluster, job, worker_entry
+
+if TYPE_CHECKING:
+    import pytest
 
 NAMES = [f"w{n}" for n in range(12)]
 BESIDE = NAMES[:6]
@@ -157,3 +160,25 @@
         assert site.learned.conflicts_of(unit) is None
         usual = choose_workers(unit, site.workers.values(), rack_use={})
         assert site.choose(unit, NAMES) == [worker.name for worker in usual or []]
+
+
+def test_queues_are_packed_tightly_again_while_the_cluster_is_full(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against large gangs without whole workers, since small tasks keep apart."""
+
+    def conflicts_of(learned: Interference, unit: Unit) -> Any:
+        return lambda worker: int(bool(worker.assignments))
+
+    monkeypatch.setattr(Interference, "conflicts_of", conflicts_of)
+    for busy, used in ((1, 2), (3, 1)):
+        cluster = Cluster(*(worker_entry(f"w{n}") for n in range(5)))
+        cluster.seconds = 20.0
+        for n in range(busy):
+            cluster.add(job(f"full{n}", StepSpec(count=1, accelerators=8)))
+        cluster.add(job("first", StepSpec(count=1, accelerators=1)))
+        cluster.run(1.0)
+        cluster.add(job("second", StepSpec(count=1, accelerators=1)))
+        cluster.run(1.0)
+        workers = {a.worker for name in ("first", "second") for a in cluster.assignments(name)}
+        assert len(workers) == used
