--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -60,7 +60,7 @@
 """
 IDLE_CLUSTER_SHARE: Final = 0.5
 """A cluster with less than this share of its accelerators in use counts as idle."""
-MAX_APART_SHARE: Final = 0.6
+MAX_APART_SHARE: Final = 0.5
 """Share of the accelerators in use up to which queues that slow each other down are kept apart.
 
 In a fuller cluster it would leave large gangs without whole workers.
