--- a/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/planning_pass.py
@@ -23,19 +23,12 @@
 )
 from zinniaweir.dispatch.quotas import Quotas
 from zinniaweir.dispatch.reporting import Reporter
-from zinniaweir.dispatch.reservations import Reservation, reserve
+from zinniaweir.dispatch.reservations import PassReservations
 from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import CAUTIOUS, RunTimes
 from zinniaweir.dispatch.shortlist import Shortlist
 from zinniaweir.dispatch.units import Assignment, Unit
-from zinniaweir.workloads.spec import StepSpec
-
-MAX_RESERVATIONS: Final = 4
-"""Maximum number of units with reserved capacity; more would leave too many workers idle."""
-UNCAPPED_RESERVATIONS: Final = 2
-"""Number of reservations that are allowed whatever share of the workers they hold."""
-MAX_RESERVED_SHARE: Final = 0.3
-"""Maximum share of the workers that more than `UNCAPPED_RESERVATIONS` reservations hold."""
+
 MAX_RESERVATION_WAIT_SECONDS: Final = 1.5
 """Time after which a job with nothing running may use reserved workers of an idle cluster."""
 MAX_RACK_WAIT_SECONDS: Final = 2.0
@@ -65,8 +58,6 @@
 
 In a fuller cluster it would leave large gangs without whole workers.
 """
-LARGE_TASK_SHARE: Final = 0.5
-"""A single task that needs more than this share of a worker gets a reservation."""
 
 
 class PlannerState(Protocol):
@@ -161,16 +152,20 @@
         self._idle = used < IDLE_CLUSTER_SHARE * total
         self._keeps_apart = used <= MAX_APART_SHARE * total
         self._unplaceable: set[tuple[object, ...]] = set()
-        self._reservations: list[Reservation] = []
         self._allowed: dict[tuple[object, ...], list[Worker]] = {}
         self._with_capacity: dict[tuple[object, ...], list[Worker]] = {}
-        self._ends: dict[str, float] = {}
         self._canaries = Canaries(self._usable)
         self._rack_capacities: dict[tuple[object, ...], int] = {}
         self._rack_use: dict[str, int] = defaultdict(int)
         for worker in self._usable:
             self._rack_use[worker.entry.rack] += worker.used_accelerators
         self._shortlist = Shortlist(self._rack_use)
+        self._reservations = PassReservations(
+            workers=self._usable,
+            expected_end=lambda assignment: planner_state.expected_end(assignment, context.now),
+            shortlist=self._shortlist,
+            now=context.now,
+        )
 
     @property
     def examined(self) -> int:
@@ -196,7 +191,7 @@
         # Reserved workers are open to some units and closed to others with the same demand.
         placement_key = (
             *_placement_key(unit),
-            unit.job.job_id if self._reservations else "",
+            unit.job.job_id if self._reservations.any else "",
             bool(kept),
         )
         if placement_key in self._unplaceable:
@@ -235,7 +230,8 @@
         self._report_wait(unit, rank, excluded, covered=covered, reason=reason)
         if unit.job.terms.priority == GUARANTEED_PRIORITY and not unit.isolated:
             self._preempt_for(unit, rank, excluded, spread_allowed=spread_allowed, covered=covered)
-        self._reserve_capacity(unit, rank, spread_allowed)
+        if rank.lateness <= 1:
+            self._reservations.reserve(unit, spread_allowed=spread_allowed)
 
     def _kept_from(self, unit: Unit) -> frozenset[str]:
         """Return the workers that are kept for urgent work and closed to a unit."""
@@ -352,13 +348,11 @@
 
     def _reserved_for_others(self, unit: Unit) -> set[str]:
         """Return workers of the reservations that begin before this unit would end."""
-        if not self._reservations:
+        if not self._reservations.any:
             return set()
         if self._idle and self._has_waited_without_running(unit, MAX_RESERVATION_WAIT_SECONDS):
             return set()
-        end = self._cautious_end(unit)
-        kept = (r.workers for r in self._reservations if end > r.ready_at)
-        return set().union(*kept)
+        return self._reservations.ready_before(self._cautious_end(unit))
 
     def _waits_for_retry(self, unit: Unit) -> bool:
         """Return whether a failed unit is not tried again yet, since workers fail what they start.
@@ -461,46 +455,6 @@
             )
             self._context.stop(victim, "preempted")
 
-    def _reserve_capacity(self, unit: Unit, rank: Rank, spread_allowed: bool) -> None:
-        if rank.lateness > 1 or not self._may_reserve(unit):
-            return
-        small = len(unit.indexes) == 1 and not _is_large(unit.step, self._usable)
-        if small and not unit.isolated:
-            return
-        reserved = {name for r in self._reservations for name in r.workers}
-        reservation = reserve(
-            unit,
-            self._shortlist.for_search(
-                unit, [w for w in self._usable if w.name not in reserved], now=self._now
-            ),
-            free_at=lambda w: self._free_at(w, unit),
-            one_rack=unit.step.rack_local and not spread_allowed,
-        )
-        if reservation is not None and reservation.ready_at > self._now:
-            self._reservations.append(reservation)
-
-    def _may_reserve(self, unit: Unit) -> bool:
-        count = len(self._reservations)
-        if count < UNCAPPED_RESERVATIONS:
-            return True
-        kept = sum(len(r.workers) for r in self._reservations) + len(unit.indexes)
-        return count < MAX_RESERVATIONS and kept <= MAX_RESERVED_SHARE * len(self._usable)
-
-    def _free_at(self, worker: Worker, unit: Unit) -> float:
-        """Return when a worker is expected to hold as many tasks of a unit as if it were empty."""
-        if not worker.assignments:
-            return self._now
-        if not unit.isolated and worker.fits(unit.demand) >= worker.fits_empty(unit.demand):
-            return self._now
-        end = self._ends.get(worker.name)
-        if end is None:
-            ends = (
-                self._planner_state.expected_end(assignment, self._now)
-                for assignment in worker.assignments.values()
-            )
-            end = self._ends[worker.name] = max(ends, default=self._now)
-        return end
-
 
 def _placement_key(unit: Unit) -> tuple[object, ...]:
     """Return a key that units share if either all or none of them can be placed."""
@@ -508,14 +462,3 @@
     if step.max_per_worker or unit.failed_workers or unit.losses or len(unit.indexes) > 1:
         return (unit.job.job_id, unit.step_number, *unit.indexes[:1])
     return (unit.job.terms.service, unit.demand, step.required_label)
-
-
-def _is_large(step: StepSpec, workers: Sequence[Worker]) -> bool:
-    if not workers:
-        return False
-    entry = workers[0].entry
-    return (
-        step.accelerators > LARGE_TASK_SHARE * entry.accelerators
-        or step.memory_mb > LARGE_TASK_SHARE * entry.memory_mb
-        or step.cpu_millis > LARGE_TASK_SHARE * entry.cpu_millis
-    )
