review: case 6, spread the ends of the tasks

Cause: with tasks of the same length up to 512 ends waited at a time also with a store of the usual speed, so the case could have failed without its disruption.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,10 +11,12 @@
 
 from standins_2.cluster import Cluster, run_case
 
-JOBS = [f"5c0e7a21d94b36f{number}" for number in range(7)]
+JOBS = [f"5c0e7a21d94b36{number:02x}" for number in range(12)]
 WIDTH = 94
 """Tasks of a job: the largest width of a kind of request in the site file."""
 WORK_MS = 8_000
+STEP_MS = 40
+"""The tasks of each job work this much longer than those of the one before."""
 SLOW_SECONDS = 4.5
 SLOWNESS = 60.0
 """`for_s` and `x` of `platform_slow` among the troubles of the site file."""
@@ -24,13 +26,14 @@
     """Hand the jobs in; their label lets them run on the first runner alone."""
     step = {
         "count": WIDTH,
-        "cpu": 90,
+        "cpu": 56,
         "memMb": 64,
         "estimateMs": WORK_MS,
         "requirements": "b",
     }
-    for job_id in JOBS:
-        if not await cluster.submit(job_id, {"spec": f'{{"ms":{WORK_MS}}}', "steps": [step]}):
+    for number, job_id in enumerate(JOBS):
+        spec = f'{{"ms":{WORK_MS + number * STEP_MS}}}'
+        if not await cluster.submit(job_id, {"spec": spec, "steps": [step]}):
             raise RuntimeError("a job was not accepted in calm")
 
 
