--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,11 +11,11 @@
 
 from standins_2.cluster import Cluster, run_case
 
-JOBS = [f"5c0e7a21d94b36{number:02x}" for number in range(12)]
+JOBS = [f"5c0e7a21d94b36{number:02x}" for number in range(8)]
 WIDTH = 94
 """Tasks of a job: the largest width of a kind of request in the site file."""
 WORK_MS = 8_000
-STEP_MS = 40
+STEP_MS = 10
 """The tasks of each job work this much longer than those of the one before."""
 SLOW_SECONDS = 4.5
 SLOWNESS = 60.0
@@ -26,7 +26,7 @@
     """Hand the jobs in; their label lets them run on the first runner alone."""
     step = {
         "count": WIDTH,
-        "cpu": 56,
+        "cpu": 80,
         "memMb": 64,
         "estimateMs": WORK_MS,
         "requirements": "b",
