dispatch: a list that leaves out ends proves no run to be gone

Cause: a worker lists at most 500 ends that were not acknowledged. A run whose end is behind them is neither running nor ended on that list, and Listings.apply took the absence for its end: LOST, and started the task again. The end was then read and acknowledged. A slow log only makes the ends wait; 600 tasks that end between two polls do the same. Inherited runs were given up by the first list, orphan runs by any list after their stop was acknowledged, and failed runs were not counted as attempts.

The soak's workers list 500 ends at a time too.

--- a/packages/dispatch/src/zinniaweir/dispatch/fleet.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/fleet.py
@@ -79,6 +79,8 @@
     """Number of the newest end that the worker has discarded, as an answered poll told it to."""
     applied_end: int = 0
     """Number of the newest end of a run that was applied to the owner's state."""
+    more_ends: bool = False
+    """Whether it may have more ends than its newest list holds."""
     assignments: dict[tuple[TaskId, int], Assignment] = field(default_factory=dict)
     """Assignments whose end is not known yet, by task and run."""
     orphan_runs: dict[tuple[TaskId, int], OrphanRun] = field(default_factory=dict)
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -74,6 +74,7 @@
             self._runs.changed = True
             self._log("worker_listed", worker=worker.name, running=len(listing.running))
         worker.listed_at = poll_sent_at
+        worker.more_ends = listing.more_ends
         if listing.unrecognized_runs:
             self._count("strange_runs", "listed")
         if listing.invalid_rows:
@@ -81,10 +82,19 @@
             self._log("rows_ignored", worker=worker.name, rows=listing.invalid_rows)
         for row in listing.ended:
             self._handle_ended_run(worker, row, now)
-        present = set()
         for row in listing.running:
-            present.add((row.task, row.run))
             self._handle_active_run(worker, row, now=now)
+        if listing.more_ends:
+            # The end of a run that is on neither list may be among those left out.
+            self._count("partial_lists", "more_ends")
+        else:
+            self._end_absent_runs(worker, listing, poll_sent_at=poll_sent_at, now=now)
+
+    def _end_absent_runs(
+        self, worker: Worker, listing: Listing, *, poll_sent_at: float, now: float
+    ) -> None:
+        """End the runs that a complete list proves to be gone."""
+        present = {(row.task, row.run) for row in listing.running}
         for task, run in (*worker.orphan_runs, *worker.assignments):
             if task in listing.running_tasks:
                 present.add((task, run))
--- a/packages/dispatch/src/zinniaweir/dispatch/messages.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/messages.py
@@ -74,6 +74,8 @@
     """Tasks that run there with a number of the run that cannot be read."""
     invalid_rows: int = 0
     """Number of entries of which a part cannot be read; the others hold."""
+    more_ends: bool = False
+    """Whether the worker may have more ends than it lists, so that a run may be on neither list."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/dispatch/src/zinniaweir/dispatch/succession.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/succession.py
@@ -124,7 +124,10 @@
     """What becomes of the assignments of an earlier incarnation; the others are lost with it."""
 
     moved: list[Assignment]
-    """Those that the next incarnation has, or may have begun since the poll was sent."""
+    """Those that the next incarnation has, or may have begun since the poll was sent.
+
+    Also those whose end may be among the ends that its list leaves out.
+    """
     late: list[LateStart]
     """Starts of lost ones that may still arrive at the next incarnation."""
 
@@ -139,6 +142,6 @@
             fates.moved.append(assignment)
         elif late_start is not None:
             fates.late.append(late_start)
-        elif settled_at is not None and settled_at >= poll_sent_at:
+        elif settled_at is not None and (settled_at >= poll_sent_at or listing.more_ends):
             fates.moved.append(assignment)
     return fates
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -111,6 +111,8 @@
         """Duration of the runs of jobs without an entry in `durations`."""
         self.renews_leases = True
         """Whether polls renew the leases of workers."""
+        self.max_listed_ends = 500
+        """Number of ends that a worker lists at a time."""
         self.stalled_workers: set[str] = set()
         """Workers whose runs stall after a tenth of the work."""
         self.time_limits = TimeLimits()
@@ -156,7 +158,8 @@
                 incarnation=fake.entry.incarnation,
                 clock_ms=int(self.now * 1e3),
                 running=running,
-                ended=tuple(fake.ended),
+                ended=tuple(fake.ended[: self.max_listed_ends]),
+                more_ends=len(fake.ended) >= self.max_listed_ends,
             )
             self.dispatcher.handle_listing(
                 worker,
--- a/packages/node/src/zinniaweir/node/polling.py
+++ b/packages/node/src/zinniaweir/node/polling.py
@@ -334,7 +334,7 @@
         wait = self._wait_seconds(worker, turn)
         # It gets no work before it has confirmed a lease, so that is not delayed.
         unconfirmed = lease is not None and not worker.leased(poll_sent_at)
-        if worker.listed_at is None or unconfirmed or not answered:
+        if worker.listed_at is None or unconfirmed or not answered or worker.more_ends:
             wait = 0.0
         # Only an incarnation that has just answered is surely the one that is meant.
         acknowledgement = worker.acknowledgement_to_send if answered else 0
@@ -379,7 +379,7 @@
             delay: Minimum delay from now on.
         """
         now = boottime()
-        if delay or worker.unanswered:
+        if delay or worker.unanswered or worker.more_ends:
             return now + delay
         if not worker.leased(now):
             # The answer told the worker's clock, on which a lease can be given now.
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -439,6 +439,30 @@
     run(work())
 
 
+def test_polls_do_not_wait_while_a_worker_may_have_more_ends(memory_log: MemoryLog) -> None:
+    """Guards against ends that are read late: a worker lists some, and the poll for more waits."""
+
+    class EndingWorkers(MemoryWorkers):
+        waits: list[float] = []
+        more_ends = True
+
+        async def poll(self, entry: WorkerEntry, **options: Any) -> Listing:
+            self.waits.append(options["wait_seconds"])
+            return replace(await super().poll(entry, **options), more_ends=self.more_ends)
+
+    workers = EndingWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        async with running(new_node("v1", memory_log, workers)):
+            await until(lambda: len(workers.waits) > 10)
+            assert not any(workers.waits)
+            workers.more_ends = False
+            await until(lambda: workers.waits[-1] > 0)
+
+    run(work())
+
+
 def test_error_of_the_record_loop_ends_the_ownership(
     memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch
 ) -> None:
