node: an append that the log rejects for good is not repeated for ever

Cause: the adapter told a 400 apart from a 503 nowhere, so Recorder._append_batch repeated the same append each 0.1 s without end. It holds all other records and the renewal of the claim, so the owner is replaced, and the next one meets the same record. Callers' submissions that are too large for a record were refused with 503 and Retry-After, which is not true.

A job whose progress is not taken is given up: its record holds its state alone, written before ends of its runs are acknowledged, so the next owner starts none of it again. A submission that fits into no record is refused at once with 413. A job that is recorded as complete is complete for the next owner whatever its units say.

This does not make such jobs run; the record that grows is another fault.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Final
 
 from zinniaweir.dispatch.changes import Changes
@@ -30,6 +30,7 @@
 from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import Configuration
+from zinniaweir.workloads.records import Progress, progress_key
 
 MAX_PLAN_INTERVAL_SECONDS: Final = 0.1
 """Maximum interval between planning passes without an event, because some waits end by time."""
@@ -513,6 +514,23 @@
             if worker is not None and worker.incarnation == acknowledgement.incarnation:
                 worker.acknowledged_end = max(worker.acknowledged_end, acknowledgement.number)
 
+    def give_up_unrecorded(self, keys: Collection[str], *, now: float) -> list[Progress]:
+        """Fail the jobs whose progress the log does not take.
+
+        From then on their records hold their state alone.
+
+        Args:
+            keys: Keys of the records.
+            now: Current time in seconds.
+
+        Returns:
+            What is to be recorded of them instead.
+        """
+        given_up = [job for job in self._jobs.values() if progress_key(job.job_id) in keys]
+        for job in given_up:
+            self._runs.give_up_unrecorded(job, now)
+        return [job.progress() for job in given_up]
+
     def _expired(self, job: OwnedJob, now: float) -> bool:
         return (
             job.ended_at is not None
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -20,6 +20,8 @@
 
 CRASHES_WORKERS: Final = "crashes_workers"
 """Reason for which a job is given up: a task or gang of it crashes the workers that start it."""
+NOT_RECORDED: Final = "not_recorded"
+"""Reason for which a job is given up: the log does not take its progress."""
 
 
 class Runs:
@@ -204,6 +206,16 @@
             )
             self.close_job(job, CRASHES_WORKERS, now)
 
+    def give_up_unrecorded(self, job: OwnedJob, now: float) -> None:
+        """Fail a job whose progress the log does not take."""
+        job.recorded_by_state = True
+        if job.closed:
+            return
+        job.failed = True
+        self._count("jobs_given_up", NOT_RECORDED)
+        self._log("job_failed", job_id=job.job_id, reason=NOT_RECORDED)
+        self.close_job(job, NOT_RECORDED, now)
+
     def _mark_job_begun(self, job: OwnedJob) -> None:
         """Let callers see that a job runs, as soon as a task of it does."""
         if not job.begun:
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -246,6 +246,8 @@
         """When the job was accepted, in seconds of the owner's clock."""
         self.cancelled = entry.cancelled
         self.failed = False
+        self.recorded_by_state = False
+        """Whether its state alone is recorded, since the log does not take its progress."""
         self.begun = False
         """Whether a worker is known to have begun any of its tasks."""
         self.preemptions = PreemptionHistory()
@@ -303,6 +305,8 @@
 
     def progress(self) -> Progress:
         """Return the job's progress as it is stored in the log."""
+        if self.recorded_by_state:
+            return Progress(job_id=self.job_id, state=self.state)
         units = tuple(unit.record() for unit in self.units if unit.run)
         return Progress(job_id=self.job_id, state=self.state, units=units)
 
@@ -344,6 +348,9 @@
                 unit.late_starts[start.key] = start
             if record.done:
                 self.finish_unit(unit)
+        if progress.state == JobState.COMPLETE:
+            for unit in self.units:
+                self.finish_unit(unit)
         self.failed = progress.state == JobState.FAILED
         self.begun = progress.state != JobState.QUEUED
         if JobState(progress.state).ended:
--- a/packages/node/src/zinniaweir/node/answers.py
+++ b/packages/node/src/zinniaweir/node/answers.py
@@ -18,6 +18,8 @@
     """The queue requires a feature that this version lacks."""
     EXCEEDS_QUOTA = "exceeds_quota"
     """A gang or a task of the job needs more than its customer may use at a time."""
+    TOO_LARGE = "too_large"
+    """The job does not fit into a record of the log."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -29,6 +29,7 @@
     NothingDoneError,
     WorkerClient,
 )
+from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES
 from zinniaweir.node.relay import Peers, RelayLog
 from zinniaweir.node.service import JobService
 from zinniaweir.node.view import (
@@ -72,6 +73,7 @@
         counters: Receives counts of events.
         timers: Receives durations of waits and jobs.
         worker_connections: Maximum number of connections to workers.
+        max_record_bytes: Size limit of a record on the log.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         counters: Counters,
         timers: Timers,
         worker_connections: int = DEFAULT_WORKER_CONNECTIONS,
+        max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
     ) -> None:
         self._vm_address = vm
         self._vm_name = vm.vm
@@ -98,6 +101,7 @@
         self._counters = counters
         self._timers = timers
         self._worker_connections = worker_connections
+        self._max_record_bytes = max_record_bytes
         self._incarnation = secrets.token_hex(8)
         read_delay = REPLICA_READ_DELAY_SECONDS if vm.strong else SMALL_VM_READ_DELAY_SECONDS
         self._view = View(
@@ -112,6 +116,7 @@
             log_port=self._log_port,
             max_view_age_seconds=time_limits.max_call_view_age_seconds,
             counters=counters,
+            max_record_bytes=max_record_bytes,
         )
         self._claim_policy = ClaimPolicy(
             vm=vm.vm,
@@ -285,6 +290,7 @@
             counters=self._counters,
             timers=self._timers,
             worker_connections=self._worker_connections,
+            max_record_bytes=self._max_record_bytes,
         )
         self._view.set_owner(True)
         following = asyncio.create_task(self._view.workers.run())
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -28,7 +28,7 @@
     WorkerCallError,
     WorkerClient,
 )
-from zinniaweir.node.recorder import Recorder
+from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES, Recorder
 from zinniaweir.node.reporting import OwnerReporter
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
@@ -38,6 +38,7 @@
 from zinniaweir.workloads.records import (
     OWNER_KEY,
     OwnerClaim,
+    Progress,
     cancellation_key,
     encode_record,
     progress_key,
@@ -70,6 +71,7 @@
         counters: Receives counts of decisions and failures.
         timers: Receives durations of waits and jobs.
         worker_connections: Maximum number of connections to workers.
+        max_record_bytes: Size limit of a record on the log.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         counters: Counters,
         timers: Timers,
         worker_connections: int = DEFAULT_WORKER_CONNECTIONS,
+        max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
     ) -> None:
         self._view = view
         self._workers = workers
@@ -97,6 +100,7 @@
             sequence=sequence,
             claimed_at=claimed_at,
             counters=counters,
+            max_record_bytes=max_record_bytes,
         )
         self._began_at = boottime()
         self._dispatcher = Dispatcher(
@@ -370,7 +374,7 @@
                 renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
                 records.append(self._next_renewal())
                 try:
-                    await self._recorder.write(records)
+                    await self._write(records)
                 except SupersededError as error:
                     self._counters.add("fenced", reason="log")
                     log("owner_fenced", by="log", epoch=self.epoch, error=str(error))
@@ -389,6 +393,19 @@
             except TimeoutError:
                 continue
 
+    async def _write(self, records: list[KeyedRecord]) -> None:
+        """Write records; a job of which the log does not take one is given up.
+
+        Its runs would go on unknown to the next owner. That it failed is recorded before the ends
+        of its runs are acknowledged.
+        """
+        rejected = {record.key for record in await self._recorder.write(records)}
+        if not rejected:
+            return
+        progress = self._dispatcher.give_up_unrecorded(rejected, now=boottime())
+        await self._recorder.write([_progress_record(p) for p in progress])
+        self.wake()
+
     def _after_record(self, changes: Changes) -> None:
         self._dispatcher.mark_recorded(changes)
         now = boottime()
@@ -399,10 +416,7 @@
             self.wake()
 
     def _records_of(self, changes: Changes) -> list[KeyedRecord]:
-        records = [
-            KeyedRecord(key=progress_key(p.job_id), value=encode_record(p))
-            for p in changes.progress
-        ]
+        records = [_progress_record(p) for p in changes.progress]
         for job_id in changes.expired_job_ids:
             keys = (progress_key(job_id), cancellation_key(job_id), submission_key(job_id))
             records += [KeyedRecord(key=key, value=None) for key in keys]
@@ -421,3 +435,7 @@
             sole=previous.sole or owned_seconds > self._time_limits.renewal_grace_seconds,
         )
         return KeyedRecord(key=OWNER_KEY, value=encode_record(self._claim))
+
+
+def _progress_record(progress: Progress) -> KeyedRecord:
+    return KeyedRecord(key=progress_key(progress.job_id), value=encode_record(progress))
--- a/packages/node/src/zinniaweir/node/ports.py
+++ b/packages/node/src/zinniaweir/node/ports.py
@@ -26,6 +26,10 @@
     """An append with a higher epoch, or with a conflicting sequence number, came first."""
 
 
+class RejectedError(LogError):
+    """The log does not take the records of an append, however often it is repeated."""
+
+
 class TrimmedError(LogError):
     """The requested records are no longer on the log."""
 
@@ -139,6 +143,9 @@
             records: The records.
             fence: Fencing token and sequence number of an owner's append, else None.
             timeout_seconds: Timeout of the call; the adapter's own by default.
+
+        Raises:
+            RejectedError: If the log takes none of the records, as one of them is not valid there.
         """
 
 
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -13,12 +13,17 @@
     Log,
     NoAnswerError,
     NothingDoneError,
+    RejectedError,
 )
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
 
 MAX_APPEND_BYTES: Final = 1_000_000
 """Size limit of one append; the platform accepts twice as much."""
+DEFAULT_MAX_RECORD_BYTES: Final = 262_144
+"""Size limit of a record if the platform does not state one."""
+KEY_LENGTH_BYTES: Final = 1
+"""Size of the length of a record's key."""
 RETRY_DELAY_SECONDS: Final = 0.1
 """Delay before an append that the log rejected is retried."""
 SLOW_APPEND_SECONDS: Final = 1.0
@@ -36,12 +41,21 @@
         sequence: Sequence number of the epoch's first append, the claim.
         claimed_at: When the claim was first sent, in seconds of `boottime`.
         counters: Receives counts of retries.
+        max_record_bytes: Size limit of a record; larger ones are not sent.
     """
 
     def __init__(
-        self, *, log_port: Log, epoch: int, sequence: int, claimed_at: float, counters: Counters
+        self,
+        *,
+        log_port: Log,
+        epoch: int,
+        sequence: int,
+        claimed_at: float,
+        counters: Counters,
+        max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
     ) -> None:
         self._log_port = log_port
+        self._max_record_bytes = max_record_bytes
         self._epoch = epoch
         self._counters = counters
         self._sequence = sequence
@@ -62,15 +76,48 @@
         """Seconds since the append in flight was first attempted, 0 if there is none."""
         return 0.0 if self._pending_since is None else boottime() - self._pending_since
 
-    async def write(self, records: list[KeyedRecord]) -> None:
+    async def write(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
         """Append records, and retry without limit until the log answers.
 
+        Returns:
+            The records that the log does not take; the others are appended.
+
         Raises:
             SupersededError: If another owner has a higher epoch.
         """
-        for batch in _batches(records):
-            self._sequence += 1
-            await self._append_batch(batch, Fence(epoch=self._epoch, sequence=self._sequence))
+        fitting: list[KeyedRecord] = []
+        rejected: list[KeyedRecord] = []
+        for record in records:
+            if record_bytes(record) <= self._max_record_bytes:
+                fitting.append(record)
+            else:
+                rejected.append(record)
+                self._report_rejected(record, "too_large")
+        for batch in _batches(fitting):
+            rejected += await self._write_batch(batch)
+        return rejected
+
+    async def _write_batch(self, batch: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Append a batch, or those of its records that the log takes; return the others.
+
+        An append that was rejected has taken no sequence number.
+        """
+        fence = Fence(epoch=self._epoch, sequence=self._sequence + 1)
+        try:
+            await self._append_batch(batch, fence)
+        except RejectedError as error:
+            if len(batch) == 1:
+                self._report_rejected(batch[0], str(error))
+                return batch
+            middle = len(batch) // 2
+            rejected = await self._write_batch(batch[:middle])
+            return rejected + await self._write_batch(batch[middle:])
+        self._sequence += 1
+        return []
+
+    def _report_rejected(self, record: KeyedRecord, error: str) -> None:
+        self._counters.add("rejected_records", reason="append")
+        log("record_rejected", key=record.key, bytes=record_bytes(record), error=error)
 
     async def _append_batch(self, records: list[KeyedRecord], fence: Fence) -> None:
         self._pending_since = started = boottime()
@@ -102,11 +149,16 @@
             self._pending_since = None
 
 
+def record_bytes(record: KeyedRecord) -> int:
+    """Return the size of a record on the log: its key, the length of the key and the value."""
+    return KEY_LENGTH_BYTES + len(record.key.encode()) + len(record.value or b"")
+
+
 def _batches(records: list[KeyedRecord]) -> list[list[KeyedRecord]]:
     batches: list[list[KeyedRecord]] = [[]]
     size = 0
     for record in records:
-        length = len(record.key) + len(record.value or b"")
+        length = record_bytes(record)
         if size + length > MAX_APPEND_BYTES and batches[-1]:
             batches.append([])
             size = 0
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -19,7 +19,15 @@
     UnknownJob,
 )
 from zinniaweir.node.boottime import boottime
-from zinniaweir.node.ports import KeyedRecord, Log, LogError, NoAnswerError, NothingDoneError
+from zinniaweir.node.ports import (
+    KeyedRecord,
+    Log,
+    LogError,
+    NoAnswerError,
+    NothingDoneError,
+    RejectedError,
+)
+from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES, record_bytes
 from zinniaweir.node.retry_after import retry_after_seconds
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
@@ -76,15 +84,23 @@
         log_port: The platform's log.
         max_view_age_seconds: Maximum age of the settings with which callers are served.
         counters: Receives counts of refusals and retries by reason.
+        max_record_bytes: Size limit of a record on the log.
     """
 
     def __init__(
-        self, *, view: View, log_port: Log, max_view_age_seconds: float, counters: Counters
+        self,
+        *,
+        view: View,
+        log_port: Log,
+        max_view_age_seconds: float,
+        counters: Counters,
+        max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
     ) -> None:
         self._view = view
         self._log_port = log_port
         self._max_view_age_seconds = max_view_age_seconds
         self._counters = counters
+        self._max_record_bytes = max_record_bytes
         self._timeout = AdaptiveTimeout()
 
     @property
@@ -234,6 +250,8 @@
 
         Appending a record twice is harmless, because only the first one takes effect.
         """
+        if record_bytes(record) > self._max_record_bytes:
+            return self._refuse_record()
         if self._view.jobs.age > VERIFY_LOG_AGE_SECONDS:
             if boottime() - self._view.jobs.failed_at < RECENT_FAILURE_SECONDS:
                 return self.refuse(Refusal.LOG_UNAVAILABLE)
@@ -258,6 +276,8 @@
                 self._counters.add("append_retries", reason="no_answer")
             except NothingDoneError:
                 self._counters.add("append_retries", reason="nothing_done")
+            except RejectedError:
+                return self._refuse_record()
             if (
                 record.key == submission_key(job_id)
                 and self._view.job_table.get(job_id) is not None
@@ -268,6 +288,11 @@
                 return self._append_failure(outcome_unknown)
             await asyncio.sleep(APPEND_RETRY_DELAY_SECONDS)
 
+    def _refuse_record(self) -> Refused:
+        """Refuse a call whose record the log does not take; a repetition does not help."""
+        self._counters.add("refusals", reason=Refusal.TOO_LARGE)
+        return Refused(reason=Refusal.TOO_LARGE)
+
     def _append_failure(self, outcome_unknown: bool) -> Refused | OutcomeUnknown:
         if outcome_unknown:
             self._counters.add("unknown_outcomes", reason="append")
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -33,7 +33,7 @@
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
 from zinniaweir.node.polling import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
-from zinniaweir.node.ports import Fence, KeyedRecord, Log, Stream, WorkerClient
+from zinniaweir.node.ports import Fence, KeyedRecord, Log, RejectedError, Stream, WorkerClient
 from zinniaweir.node.recorder import Recorder
 from zinniaweir.node.service import VERIFY_LOG_AGE_SECONDS
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
@@ -780,6 +780,55 @@
     run(work())
 
 
+def test_job_whose_progress_the_log_does_not_take_stops_no_other(memory_log: MemoryLog) -> None:
+    """Guards against LOST: one record that the log rejects stops the jobs of all customers."""
+
+    class PickyLog(MemoryLog):
+        async def append(self, records: list[KeyedRecord], **options: Any) -> int:
+            for record in records:
+                if record.key == "p/job1" and len(record.value or b"") > 60:
+                    raise RejectedError("400")
+            return await super().append(records, **options)
+
+    log = PickyLog(streams=memory_log.streams)
+    log.put(Stream.WORKERS, "w1", b"ok")
+    workers = MemoryWorkers()
+
+    async def work() -> None:
+        node = new_node("v1", log, workers)
+        async with running(node):
+            await node.service.submit(PARISH, TERMS, "job1", SPEC, deadline=deadline())
+            await until(lambda: node.view.job_table.get("job1") is not None)
+            await node.service.submit(PARISH, TERMS, "job2", SPEC, deadline=deadline())
+            await until(lambda: any(task.job_id == "job2" for _, task, _, _ in workers.started))
+            entry = node.view.job_table.get("job1")
+            assert entry is not None
+            await until(lambda: entry.state is JobState.FAILED)
+            owner = node.owner
+            assert owner is not None
+            assert owner.epoch == 1
+        assert not any(task.job_id == "job1" for _, task, _, _ in workers.started)
+
+    run(work())
+
+
+def test_job_that_fits_into_no_record_is_refused_at_once_for_good(memory_log: MemoryLog) -> None:
+    """Guards against a caller that is told to come back with a job that can never be stored."""
+    large = JobSpec(payload="x" * 300_000, steps=SPEC.steps)
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, MemoryWorkers())
+        async with running(node):
+            sent_at = boottime()
+            answer = await node.service.submit(PARISH, TERMS, "job1", large, deadline=deadline())
+            assert isinstance(answer, Refused)
+            assert answer.reason is Refusal.TOO_LARGE
+            assert boottime() - sent_at < 0.5
+            assert not memory_log.appended or node.view.job_table.get("job1") is None
+
+    run(work())
+
+
 def test_submission_in_a_known_outage_is_refused_without_a_further_read(
     memory_log: MemoryLog,
 ) -> None:
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -38,6 +38,7 @@
     "read_fault": "reading a stream of the log caused a fault of the program; it is read again",
     "record_fault": "applying a record caused a fault of the program; the record is skipped",
     "record_ignored": "a record could not be read or is of no known kind",
+    "record_rejected": "the log does not take a record of the owner, which goes on without it",
     "release_failed": "a planned stop could not release the ownership",
     "reload_refused": "a changed settings file could not be read",
     "reloaded": "a changed settings file was read",
