dispatch, node: progress that outgrows a record is stored in pages

Cause: the progress of a job is one record with an entry for each started task: 295,312 bytes for 8,000 tasks, 40 MB with 10,000 checkpoints of the length that the adapter takes. The store takes 262,144. Losses of a task were not bounded either. A record of that kind is also written whole with each change.

Change: progress above 64 KiB (or half a record) goes into pages of 8 consecutive tasks, of which a change writes those that it touches. A page fits into a record whatever its tasks have; a task remembers 32 losses. Pages come before the head that makes them count, heads of ended jobs before their pages, so an owner may end between any two appends. A gang is on several pages, with what concerns their tasks on each. The claim is renewed with each 500 KB. Small jobs are recorded as before.

Ruled out: cutting the encoded progress into parts (each change writes it all, and needs a switch of generations); a record for each unit (10,000 keys to load and 1,250 bytes of gang in one); a smaller limit on jobs.

Evidence: the node's test of a wide job failed before (no task was started; the job was given up, as its record is rejected).

--- a/packages/dispatch/src/zinniaweir/dispatch/changes.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/changes.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 from zinniaweir.dispatch.messages import Acknowledgement
-from zinniaweir.dispatch.units import Assignment
+from zinniaweir.dispatch.progress import ProgressRecords
+from zinniaweir.dispatch.units import Assignment, OwnedJob
 from zinniaweir.workloads.records import Progress
 
 
@@ -13,8 +14,9 @@
 class Changes:
     """Records to write to the log, and the actions that are allowed once they are written."""
 
-    progress: list[Progress] = field(default_factory=list)
-    expired_job_ids: list[str] = field(default_factory=list)
+    records: ProgressRecords = field(default_factory=ProgressRecords)
+    """Progress of jobs."""
+    expired_jobs: list[OwnedJob] = field(default_factory=list)
     """Jobs past their retention, whose records are deleted."""
     placed: list[Assignment] = field(default_factory=list)
     """New assignments, to be started once they are recorded."""
@@ -24,4 +26,9 @@
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to write."""
-        return not (self.progress or self.expired_job_ids or self.acknowledgements)
+        return not (any(self.records.in_order) or self.expired_jobs or self.acknowledgements)
+
+    @property
+    def progress(self) -> list[Progress]:
+        """Progress of jobs, without the pages."""
+        return [*self.records.ended, *self.records.progress]
--- a/packages/dispatch/src/zinniaweir/dispatch/crashes.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/crashes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from zinniaweir.workloads.losses import (
+    MAX_LOSSES,
     MAX_RECENT_LOSSES,
     MIN_MASS_LOSS,
     SAME_TIME_SECONDS,
@@ -52,11 +53,11 @@
     knows them.
 
     Args:
-        on_changed: Called with each job whose losses changed.
+        on_changed: Called with each unit whose losses changed.
         reporter: Receives log events and counts.
     """
 
-    def __init__(self, *, on_changed: Callable[[OwnedJob], None], reporter: Reporter) -> None:
+    def __init__(self, *, on_changed: Callable[[Unit], None], reporter: Reporter) -> None:
         self._on_changed = on_changed
         self._log = reporter.log
         self._count = reporter.count
@@ -122,9 +123,10 @@
                 members=members,
                 lasted_seconds=lasted,
             )
-            unit.losses = (*unit.losses, loss)
+            self._discard(unit, unit.losses[: 1 - MAX_LOSSES])
+            unit.losses = (*unit.losses[1 - MAX_LOSSES :], loss)
             self._units.setdefault((loss.worker, loss.incarnation), {})[unit] = None
-            self._on_changed(unit.job)
+            self._on_changed(unit)
             self._count("losses", "sole_unit" if sole else "shared")
             self._log(
                 "unit_lost",
@@ -237,14 +239,14 @@
             else loss
             for loss in unit.losses
         )
-        self._on_changed(unit.job)
+        self._on_changed(unit)
 
     def _change(
         self, unit: Unit, losses: Iterable[LossRecord], *, worker: str, reason: str
     ) -> None:
         """Replace the losses of a unit, since the one on a worker does not count any more."""
         unit.losses = tuple(losses)
-        self._on_changed(unit.job)
+        self._on_changed(unit)
         self._count("losses_cleared", reason)
         self._log(
             "unit_loss_cleared",
--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -20,6 +20,7 @@
     WorkerEntry,
 )
 from zinniaweir.dispatch.planning import Planner
+from zinniaweir.dispatch.progress import ProgressChanges
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import RunTimes
@@ -29,8 +30,9 @@
 from zinniaweir.dispatch.units import Assignment, LateStart, OwnedJob, Unit
 from zinniaweir.dispatch.worker_speed import WorkerSpeeds
 from zinniaweir.workloads.job_table import JobEntry
+from zinniaweir.workloads.progress_pages import MAX_WHOLE_PROGRESS_BYTES
 from zinniaweir.workloads.queues import Configuration
-from zinniaweir.workloads.records import Progress, progress_key
+from zinniaweir.workloads.records import Progress
 
 MAX_PLAN_INTERVAL_SECONDS: Final = 0.1
 """Maximum interval between planning passes without an event, because some waits end by time."""
@@ -39,6 +41,10 @@
 """Factor on the length of a lease on a worker whose clock was never read and may be slow."""
 
 
+class PagesNeededError(Exception):
+    """The progress of a job does not fit into one record, and the owner may not store pages."""
+
+
 class Dispatcher:
     """Scheduling decisions of one owner, without I/O or access to a clock.
 
@@ -47,6 +53,7 @@
         predecessor_ended: Whether no previous owner can renew a lease any more.
         time_limits: Durations that limit leases and retention.
         reporter: Receives log events, counts and durations.
+        max_whole_progress_bytes: Size of a job's progress above which it is recorded in pages.
     """
 
     def __init__(
@@ -56,6 +63,7 @@
         predecessor_ended: bool,
         time_limits: TimeLimits,
         reporter: Reporter,
+        max_whole_progress_bytes: int = MAX_WHOLE_PROGRESS_BYTES,
     ) -> None:
         last_renewal = now if predecessor_ended else now + time_limits.renewal_grace_seconds
         self._inherited = InheritedAssignments(
@@ -77,6 +85,7 @@
             retries=self._retries,
             run_times=self._run_times,
             speeds=self._speeds,
+            progress=ProgressChanges(max_whole_bytes=max_whole_progress_bytes),
             reporter=reporter,
         )
         self._listings = Listings(
@@ -126,6 +135,11 @@
         """Health of the workers."""
         return self._health
 
+    @property
+    def has_pages(self) -> bool:
+        """Whether the progress of any job is recorded in pages."""
+        return any(job.paged for job in self._jobs.values())
+
     def configure(self, configuration: Configuration, evacuated: frozenset[str]) -> None:
         """Apply the operators' settings.
 
@@ -483,24 +497,31 @@
             unit.awaits_worker = True
         self._held = held
 
-    def collect_changes(self, *, now: float) -> Changes:
-        """Return and reset the changes since the last call, to be written in one append.
+    def collect_changes(self, *, now: float, pages_allowed: bool = True) -> Changes:
+        """Return and reset the changes since the last call, to be written to the log.
 
         Jobs past their retention are removed.
+
+        Args:
+            now: Current time in seconds.
+            pages_allowed: Whether the owner may store progress in pages.
+
+        Raises:
+            PagesNeededError: If progress has to be stored in pages, and may not.
         """
         runs, listings = self._runs, self._listings
-        for job in runs.changed_jobs.values():
-            for unit in job.units:
-                unit.forget_late_starts(now)
+        records = runs.progress.take(now=now, pages_allowed=pages_allowed)
+        if records is None:
+            raise PagesNeededError
         changes = Changes(
-            progress=[job.progress() for job in runs.changed_jobs.values()],
+            records=records,
             placed=runs.placed,
             acknowledgements=list(listings.acknowledgements.values()),
         )
-        runs.changed_jobs, runs.placed, listings.acknowledgements = {}, [], {}
+        runs.placed, listings.acknowledgements = [], {}
         for job in list(self._jobs.values()):
             if self._expired(job, now):
-                changes.expired_job_ids.append(job.job_id)
+                changes.expired_jobs.append(job)
                 self._runs.suspects.remove_job(job)
                 del self._jobs[job.job_id]
         return changes
@@ -526,7 +547,7 @@
         Returns:
             What is to be recorded of them instead.
         """
-        given_up = [job for job in self._jobs.values() if progress_key(job.job_id) in keys]
+        given_up = [job for job in self._jobs.values() if job.is_recorded_under(keys)]
         for job in given_up:
             self._runs.give_up_unrecorded(job, now)
         return [job.progress() for job in given_up]
--- a/packages/dispatch/src/zinniaweir/dispatch/listings.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/listings.py
@@ -130,7 +130,7 @@
         if assignment.incarnation != worker.incarnation:
             # The start reached a later incarnation than the one that it was meant for.
             assignment.incarnation = worker.incarnation
-            self._runs.changed_jobs[unit.job.job_id] = unit.job
+            self._runs.progress.mark(unit.job, unit, assignment.index)
         if row.checkpoint and row.checkpoint != unit.checkpoint:
             unit.checkpoint = row.checkpoint
         if not assignment.started:
--- a/packages/dispatch/src/zinniaweir/dispatch/runs.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/runs.py
@@ -12,6 +12,7 @@
 from zinniaweir.dispatch.interference import Interference
 from zinniaweir.dispatch.messages import RunEnd
 from zinniaweir.dispatch.ordering import objective_seconds
+from zinniaweir.dispatch.progress import ProgressChanges
 from zinniaweir.dispatch.reporting import Reporter
 from zinniaweir.dispatch.retries import RetryPolicy
 from zinniaweir.dispatch.run_times import RunTimes
@@ -33,6 +34,7 @@
         retries: Receives failures and successes.
         run_times: Expected durations.
         speeds: Speeds of the workers.
+        progress: Receives the jobs whose progress has to be recorded.
         reporter: Receives log events, counts and durations.
     """
 
@@ -44,6 +46,7 @@
         retries: RetryPolicy,
         run_times: RunTimes,
         speeds: WorkerSpeeds,
+        progress: ProgressChanges,
         reporter: Reporter,
     ) -> None:
         self.suspects = CrashSuspects(on_changed=self._on_losses_changed, reporter=reporter)
@@ -64,8 +67,8 @@
         """Assignments whose start has not been acknowledged."""
         self.stopping: dict[Assignment, None] = {}
         """Assignments that are being stopped."""
-        self.changed_jobs: dict[str, OwnedJob] = {}
-        """Jobs whose progress has to be recorded, by id."""
+        self.progress = progress
+        """Jobs whose progress has to be recorded."""
         self.placed: list[Assignment] = []
         """Assignments that have to be recorded before their starts are sent."""
         self.changed = True
@@ -152,7 +155,7 @@
         if checkpoint:
             unit.checkpoint = checkpoint
         unit.waiting_since = now
-        self.changed_jobs[job.job_id] = job
+        self.progress.mark(job, unit, assignment.index)
         if end is not RunEnd.LOST:
             # Its start may not have been answered.
             self._mark_job_begun(job)
@@ -209,6 +212,7 @@
     def give_up_unrecorded(self, job: OwnedJob, now: float) -> None:
         """Fail a job whose progress the log does not take."""
         job.recorded_by_state = True
+        job.paged = False
         if job.closed:
             return
         job.failed = True
@@ -220,12 +224,12 @@
         """Let callers see that a job runs, as soon as a task of it does."""
         if not job.begun:
             job.begun = True
-            self.changed_jobs[job.job_id] = job
+            self.progress.mark(job)
 
-    def _on_losses_changed(self, job: OwnedJob) -> None:
-        self.changed_jobs[job.job_id] = job
+    def _on_losses_changed(self, unit: Unit) -> None:
+        self.progress.mark(unit.job, unit)
         self.changed = True
-        for assignment in job.assignments:
+        for assignment in unit.assignments.values():
             worker = self._fleet.get(assignment.worker)
             if worker is not None:
                 worker.recompute_fits()
@@ -258,7 +262,7 @@
         """Complete a unit whose newest run was taken for lost, or was interrupted, but was done."""
         if not unit.done:
             self.changed = True
-            self.changed_jobs[unit.job.job_id] = unit.job
+            self.progress.mark(unit.job, unit)
             self._finish_unit(unit, now)
 
     def _finish_unit(self, unit: Unit, now: float) -> None:
@@ -305,7 +309,7 @@
     def close_job(self, job: OwnedJob, reason: str, now: float) -> None:
         """Stop all runs of a job that failed or was cancelled."""
         job.ended_at = now
-        self.changed_jobs[job.job_id] = job
+        self.progress.mark(job)
         self._log("job_closed", job_id=job.job_id, reason=reason)
         for unit in job.units:
             self.stop_unit(unit, reason, now)
@@ -356,7 +360,7 @@
             worker.assign(assignment)
             self.starting[assignment] = None
             self.placed.append(assignment)
-        self.changed_jobs[unit.job.job_id] = unit.job
+        self.progress.mark(unit.job, unit)
         self._reporter.measure("placement_wait", now - unit.waiting_since, unit.job.terms.name)
         unit.wait_logged = False
         self._log(
--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from bisect import bisect_right
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+import msgspec
+
 from zinniaweir.dispatch.messages import TaskId
 from zinniaweir.dispatch.preemption_history import PreemptionHistory
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.losses import needs_isolation
+from zinniaweir.workloads.progress_pages import PAGE_TASKS
 from zinniaweir.workloads.queues import QueueTerms
 from zinniaweir.workloads.records import (
     AssignmentRecord,
@@ -17,7 +22,9 @@
     LateStartRecord,
     LossRecord,
     Progress,
+    ProgressPage,
     UnitRecord,
+    progress_key,
 )
 from zinniaweir.workloads.spec import StepSpec
 
@@ -53,6 +60,10 @@
         """Its task and run."""
         return TaskId(self.unit.job.job_id, self.unit.step_number, self.index), self.run
 
+    def record(self) -> LateStartRecord:
+        """Return the start as it is stored in the log."""
+        return LateStartRecord(self.index, self.run, self.worker)
+
     def may_arrive(self, now: float) -> bool:
         """Return whether it may still be carried out."""
         return now - self.sent_at <= LATE_CALL_SECONDS
@@ -128,6 +139,10 @@
         """Id of the task."""
         return TaskId(self.unit.job.job_id, self.unit.step_number, self.index)
 
+    def record(self) -> AssignmentRecord:
+        """Return the assignment as it is stored in the log."""
+        return AssignmentRecord(self.index, self.worker, self.incarnation)
+
 
 @dataclass(kw_only=True, eq=False)
 class Unit:
@@ -209,9 +224,6 @@
 
     def record(self) -> UnitRecord:
         """Return the unit as it is stored in the log."""
-        assignments = tuple(
-            AssignmentRecord(a.index, a.worker, a.incarnation) for a in self.assignments.values()
-        )
         return UnitRecord(
             self.step_number,
             self.indexes[0],
@@ -219,9 +231,37 @@
             self.failures,
             self.done,
             self.checkpoint,
-            assignments,
+            tuple(a.record() for a in self.assignments.values()),
             self.losses,
-            tuple(LateStartRecord(s.index, s.run, s.worker) for s in self.late_starts.values()),
+            tuple(s.record() for s in self.late_starts.values()),
+            self.failed_run,
+        )
+
+    def record_of(self, indexes: Collection[int]) -> UnitRecord:
+        """Return what concerns some of its tasks, as it is stored in the log.
+
+        Args:
+            indexes: Indexes of the tasks.
+        """
+        if len(indexes) == len(self.indexes):
+            return self.record()
+        first = self.indexes[0]
+        losses = (
+            msgspec.structs.replace(loss, members=tuple(m for m in loss.members if m in indexes))
+            for loss in self.losses
+            if any(member in indexes for member in loss.members)
+            or (not loss.members and first in indexes)
+        )
+        return UnitRecord(
+            self.step_number,
+            first,
+            self.run,
+            self.failures,
+            self.done,
+            self.checkpoint if first in indexes else "",
+            tuple(a.record() for i in indexes if (a := self.assignments.get(i)) is not None),
+            tuple(losses),
+            tuple(s.record() for s in self.late_starts.values() if s.index in indexes),
             self.failed_run,
         )
 
@@ -259,8 +299,19 @@
         """Number of units that are not done, by step."""
         for unit in self.units:
             self.open_units[unit.step_number] += 1
+        unit_counts = (1 if step.gang else step.count for step in self.steps)
+        self._first_units = (0, *accumulate(unit_counts))
+        """Position of the first unit of each step, and the number of all units."""
+        self._first_tasks = (0, *accumulate(step.count for step in self.steps))
+        """Number of the first task of each step among all tasks, and the number of all tasks."""
+        self.paged = entry.paged
+        """Whether its progress is recorded in pages."""
+        self.recorded_pages = set(entry.pages)
+        """Numbers of the pages that are on the log."""
+        self.recorded_state: JobState | None = None
+        """State that was last recorded, if that is known and its progress is in pages."""
         if entry.progress is not None:
-            self._restore(entry.progress, now)
+            self._restore(entry.progress, entry.units, now)
 
     @property
     def state(self) -> JobState:
@@ -292,10 +343,10 @@
 
     def unit_of(self, task: TaskId) -> Unit | None:
         """Return the unit that a task belongs to, None if the job has no such task."""
-        for unit in self.units:
-            if unit.step_number == task.step and task.index in unit.indexes:
-                return unit
-        return None
+        if not (0 <= task.step < len(self.steps) and 0 <= task.index < self.steps[task.step].count):
+            return None
+        position = self._first_units[task.step]
+        return self.units[position if self.steps[task.step].gang else position + task.index]
 
     def finish_unit(self, unit: Unit) -> None:
         """Mark a unit as done."""
@@ -307,9 +358,60 @@
         """Return the job's progress as it is stored in the log."""
         if self.recorded_by_state:
             return Progress(job_id=self.job_id, state=self.state)
+        if self.paged:
+            return Progress(job_id=self.job_id, state=self.state, page_tasks=PAGE_TASKS)
         units = tuple(unit.record() for unit in self.units if unit.run)
         return Progress(job_id=self.job_id, state=self.state, units=units)
 
+    def is_recorded_under(self, keys: Collection[str]) -> bool:
+        """Return whether one of some keys is that of its progress or of a page of it."""
+        own = progress_key(self.job_id)
+        return own in keys or any(key.startswith(f"{own}/") for key in keys)
+
+    def page_number(self, step: int, index: int) -> int:
+        """Return the number of the page that holds a task.
+
+        Args:
+            step: Index of the step in the job.
+            index: Index of the task in the step.
+        """
+        return (self._first_tasks[step] + index) // PAGE_TASKS
+
+    def begun_pages(self) -> set[int]:
+        """Return the numbers of the pages that hold units which were started."""
+        return {
+            self.page_number(unit.step_number, index)
+            for unit in self.units
+            if unit.run
+            for index in unit.indexes
+        }
+
+    def page(self, number: int, *, now: float) -> ProgressPage:
+        """Return a page of the progress as it is stored in the log.
+
+        Args:
+            number: Number of the page.
+            now: Current time in seconds.
+        """
+        self.recorded_pages.add(number)
+        indexes: dict[Unit, list[int]] = {}
+        for task in self._tasks_of_page(number):
+            unit = self.unit_of(task)
+            if unit is not None and unit.run:
+                indexes.setdefault(unit, []).append(task.index)
+        for unit in indexes:
+            unit.forget_late_starts(now)
+        units = tuple(unit.record_of(found) for unit, found in indexes.items())
+        return ProgressPage(job_id=self.job_id, number=number, units=units)
+
+    def _tasks_of_page(self, number: int) -> Iterator[TaskId]:
+        first = number * PAGE_TASKS
+        step = bisect_right(self._first_tasks, first) - 1
+        for position in range(first, min(first + PAGE_TASKS, self._first_tasks[-1])):
+            while position >= self._first_tasks[step + 1]:
+                step += 1
+            yield TaskId(self.job_id, step, position - self._first_tasks[step])
+
     def _step_ready(self, number: int) -> bool:
         return all(not self.open_units[earlier] for earlier in self.steps[number].depends_on)
 
@@ -323,9 +425,9 @@
             Unit(job=self, step_number=number, indexes=group, waiting_since=now) for group in groups
         ]
 
-    def _restore(self, progress: Progress, now: float) -> None:
+    def _restore(self, progress: Progress, units: Sequence[UnitRecord], now: float) -> None:
         by_position = {(unit.step_number, unit.indexes[0]): unit for unit in self.units}
-        for record in progress.units:
+        for record in units:
             unit = by_position.get((record.step, record.first_index))
             if unit is None:
                 continue
--- a/packages/dispatch/tests/conftest.py
+++ b/packages/dispatch/tests/conftest.py
@@ -21,6 +21,7 @@
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment
 from zinniaweir.workloads.job_table import JobEntry
+from zinniaweir.workloads.progress_pages import MAX_WHOLE_PROGRESS_BYTES
 from zinniaweir.workloads.queues import Configuration, Customer, QueueTerms
 from zinniaweir.workloads.records import Submission
 from zinniaweir.workloads.spec import JobSpec, StepSpec
@@ -113,6 +114,7 @@
         """Whether polls renew the leases of workers."""
         self.max_listed_ends = 500
         """Number of ends that a worker lists at a time."""
+        self.max_whole_progress_bytes = MAX_WHOLE_PROGRESS_BYTES
         self.stalled_workers: set[str] = set()
         """Workers whose runs stall after a tenth of the work."""
         self.time_limits = TimeLimits()
@@ -124,6 +126,7 @@
             predecessor_ended=predecessor_ended,
             time_limits=self.time_limits,
             reporter=self,
+            max_whole_progress_bytes=self.max_whole_progress_bytes,
         )
 
     def log(self, event: str, **fields: Any) -> None:
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -435,9 +435,9 @@
     ended_at = cluster.dispatcher.jobs["j1"].ended_at
     assert ended_at is not None
     changes = cluster.dispatcher.collect_changes(now=ended_at + 179.0)
-    assert changes.expired_job_ids == []
+    assert [job.job_id for job in changes.expired_jobs] == []
     changes = cluster.dispatcher.collect_changes(now=ended_at + 181.0)
-    assert changes.expired_job_ids == ["j1"]
+    assert [job.job_id for job in changes.expired_jobs] == ["j1"]
 
 
 def test_progress_round_trips(cluster: Cluster) -> None:
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -44,6 +44,7 @@
 from zinniaweir.workloads.records import (
     OWNER_KEY,
     OwnerClaim,
+    PagedOwnerClaim,
     Submission,
     VmAddress,
     encode_record,
@@ -131,6 +132,8 @@
         self._claimed_at = float("-inf")
         self._sequence = 0
         self._stopping = False
+        self._pages_needed = False
+        """Whether the owner on this VM ended to own again with a `PagedOwnerClaim`."""
         self._election_wake = asyncio.Event()
         self._view.on_submission = self._on_submission
         self._view.on_cancellation = self._on_cancellation
@@ -231,6 +234,8 @@
             claim = self._view.job_table.claim
             if self._is_own_claim(claim):
                 await self._run_owner(claim)
+            elif self._pages_needed and self._is_last_owner(claim):
+                await self._try_claim(claim)
             elif self._claim_policy.should_claim(claim, fresh_at=self._view.jobs.fresh_at):
                 await asyncio.sleep(self._claim_delay(claim))
                 if self._view.job_table.claim is claim and not self._stopping:
@@ -250,11 +255,25 @@
             and not claim.released
         )
 
+    def _is_last_owner(self, claim: OwnerClaim | None) -> bool:
+        """Return whether this process made the newest claim."""
+        return claim is not None and claim.incarnation == self._incarnation
+
     async def _try_claim(self, last: OwnerClaim | None) -> None:
-        claim = OwnerClaim(
+        paged = (
+            self._pages_needed
+            or isinstance(last, PagedOwnerClaim)
+            or self._view.job_table.has_pages
+        )
+        epoch = (last.epoch if last else 0) + 1
+        if paged and not isinstance(last, PagedOwnerClaim):
+            # A VM of an earlier version cannot read this claim, and may make the next one.
+            epoch += 1
+        claim_type = PagedOwnerClaim if paged else OwnerClaim
+        claim = claim_type(
             vm=self._vm_name,
             incarnation=self._incarnation,
-            epoch=(last.epoch if last else 0) + 1,
+            epoch=epoch,
             sole=earlier_owners_ended(last, vm=self._vm_name),
         )
         record = KeyedRecord(key=OWNER_KEY, value=encode_record(claim))
@@ -275,6 +294,7 @@
             log("claim_not_confirmed", epoch=claim.epoch, error=str(error))
             await asyncio.sleep(CLAIM_JITTER_SECONDS)
             return
+        self._pages_needed = False
         self._counters.add("claims", reason="won")
         self._election_wake.set()
 
@@ -300,11 +320,14 @@
             await owner.run()
         finally:
             self._owner = None
+            self._pages_needed = owner.pages_needed
             self._ended_epoch = claim.epoch
             following.cancel()
             self._view.set_owner(False)
             self._counters.add("ownerships", reason="ended")
             log("ownership_ended", epoch=claim.epoch, seconds=round(boottime() - started, 2))
+            if owner.pages_needed:
+                self._election_wake.set()
 
     def _on_fresh(self, previous_at: float, at: float) -> None:
         self._claim_policy.observe(self._view.job_table.claim, previous_at=previous_at, at=at)
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from zinniaweir.dispatch.changes import Changes
-from zinniaweir.dispatch.dispatcher import Dispatcher
+from zinniaweir.dispatch.dispatcher import Dispatcher, PagesNeededError
 from zinniaweir.dispatch.fleet import Worker
 from zinniaweir.dispatch.messages import StartAnswer, TaskId
 from zinniaweir.dispatch.time_limits import TimeLimits
@@ -28,20 +28,24 @@
     WorkerCallError,
     WorkerClient,
 )
-from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES, Recorder
+from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES, Recorder, split_records
 from zinniaweir.node.reporting import OwnerReporter
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
 from zinniaweir.telemetry.timers import Timers
 from zinniaweir.workloads.job_table import JobEntry
+from zinniaweir.workloads.progress_pages import MAX_WHOLE_PROGRESS_BYTES
 from zinniaweir.workloads.records import (
     OWNER_KEY,
     OwnerClaim,
+    PagedOwnerClaim,
     Progress,
+    ProgressPage,
     cancellation_key,
     encode_record,
     progress_key,
+    progress_page_key,
     submission_key,
 )
 
@@ -53,6 +57,12 @@
 """Maximum share of the time that planning passes take in a large fleet."""
 PACED_UPDATE_SECONDS: Final = 0.1
 """Interval between updates of a large fleet if the platform's list did not change."""
+MAX_WRITE_BYTES: Final = 500_000
+"""Size of records that are written before the claim is renewed again."""
+PAGED_CLAIM_SECONDS: Final = 60.0
+"""Time for which a `PagedOwnerClaim` is renewed at least; it is made before the first page."""
+MAX_WHOLE_PROGRESS_SHARE: Final = 0.5
+"""Share of a record above which the progress of a job is stored in pages."""
 START_RETRY_INTERVAL_SECONDS: Final = 0.3
 STOP_RETRY_INTERVAL_SECONDS: Final = 0.7
 
@@ -108,6 +118,9 @@
             predecessor_ended=claim.sole,
             time_limits=time_limits,
             reporter=OwnerReporter(epoch=claim.epoch, counters=counters, timers=timers),
+            max_whole_progress_bytes=min(
+                MAX_WHOLE_PROGRESS_BYTES, int(MAX_WHOLE_PROGRESS_SHARE * max_record_bytes)
+            ),
         )
         self._wake = asyncio.Event()
         self._record_wake = asyncio.Event()
@@ -126,6 +139,7 @@
         """Number of changes of the platform's list that the dispatcher knows."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._releasing = False
+        self._pages_needed = False
 
     @property
     def dispatcher(self) -> Dispatcher:
@@ -142,6 +156,11 @@
         """Whether the ownership is being released."""
         return self._releasing
 
+    @property
+    def pages_needed(self) -> bool:
+        """Whether it ended since only an owner with a `PagedOwnerClaim` can go on."""
+        return self._pages_needed
+
     def wake(self) -> None:
         """Trigger planning after a change."""
         self._wake.set()
@@ -365,16 +384,23 @@
     async def _record_loop(self) -> None:
         renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
         while True:
-            changes = self._dispatcher.collect_changes(now=boottime())
+            try:
+                changes = self._dispatcher.collect_changes(
+                    now=boottime(), pages_allowed=isinstance(self._claim, PagedOwnerClaim)
+                )
+            except PagesNeededError:
+                # What was not recorded has not been acted on, so the next owner decides it again.
+                log("pages_needed", epoch=self.epoch)
+                self._pages_needed = True
+                self._end_requested.set()
+                return
             for assignment in changes.placed:
                 self._polling.hasten(assignment.worker)
-            records = self._records_of(changes)
             releasing = self._releasing
             if not changes.is_empty or boottime() >= renewal_at or releasing:
                 renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
-                records.append(self._next_renewal())
                 try:
-                    await self._write(records)
+                    await self._write(_records_of(changes), releasing=releasing)
                 except SupersededError as error:
                     self._counters.add("fenced", reason="log")
                     log("owner_fenced", by="log", epoch=self.epoch, error=str(error))
@@ -393,19 +419,27 @@
             except TimeoutError:
                 continue
 
-    async def _write(self, records: list[KeyedRecord]) -> None:
-        """Write records; a job of which the log does not take one is given up.
+    async def _write(self, records: list[KeyedRecord], *, releasing: bool) -> None:
+        """Write records and a renewal; a job of which the log does not take a record is given up.
 
         Its runs would go on unknown to the next owner. That it failed is recorded before the ends
         of its runs are acknowledged.
         """
-        rejected = {record.key for record in await self._recorder.write(records)}
+        rejected: set[str] = set()
+        *earlier, last = split_records(records, max_bytes=MAX_WRITE_BYTES) or [[]]
+        for batch in earlier:
+            rejected |= await self._write_batch([*batch, self._next_renewal()])
+        rejected |= await self._write_batch([*last, self._next_renewal(released=releasing)])
         if not rejected:
             return
         progress = self._dispatcher.give_up_unrecorded(rejected, now=boottime())
         await self._recorder.write([_progress_record(p) for p in progress])
         self.wake()
 
+    async def _write_batch(self, records: list[KeyedRecord]) -> set[str]:
+        """Write records and return the keys of those that the log does not take."""
+        return {record.key for record in await self._recorder.write(records)}
+
     def _after_record(self, changes: Changes) -> None:
         self._dispatcher.mark_recorded(changes)
         now = boottime()
@@ -415,27 +449,44 @@
         if changes.placed:
             self.wake()
 
-    def _records_of(self, changes: Changes) -> list[KeyedRecord]:
-        records = [_progress_record(p) for p in changes.progress]
-        for job_id in changes.expired_job_ids:
-            keys = (progress_key(job_id), cancellation_key(job_id), submission_key(job_id))
-            records += [KeyedRecord(key=key, value=None) for key in keys]
-        return records
-
-    def _next_renewal(self) -> KeyedRecord:
+    def _next_renewal(self, *, released: bool = False) -> KeyedRecord:
         previous = self._claim
         owned_seconds = boottime() - self._began_at
-        self._claim = OwnerClaim(
+        self._claim = self._claim_type(owned_seconds)(
             vm=previous.vm,
             incarnation=previous.incarnation,
             epoch=previous.epoch,
             beat=previous.beat + 1,
-            released=self._releasing,
+            released=released,
             # By then, owners that were cut off from the log when this one began have stopped.
             sole=previous.sole or owned_seconds > self._time_limits.renewal_grace_seconds,
         )
         return KeyedRecord(key=OWNER_KEY, value=encode_record(self._claim))
 
-
-def _progress_record(progress: Progress) -> KeyedRecord:
-    return KeyedRecord(key=progress_key(progress.job_id), value=encode_record(progress))
+    def _claim_type(self, owned_seconds: float) -> type[OwnerClaim]:
+        """Return the type of the next renewal; VMs of earlier versions may own if it is plain."""
+        if not isinstance(self._claim, PagedOwnerClaim):
+            return OwnerClaim
+        if self._dispatcher.has_pages or owned_seconds <= PAGED_CLAIM_SECONDS:
+            return PagedOwnerClaim
+        return OwnerClaim
+
+
+def _records_of(changes: Changes) -> list[KeyedRecord]:
+    """Return the records of changes, in the order in which they take effect."""
+    records = [_progress_record(progress) for progress in changes.records.in_order]
+    for job in changes.expired_jobs:
+        # A job without its progress would start anew, so that is removed last.
+        keys = [progress_page_key(job.job_id, number) for number in sorted(job.recorded_pages)]
+        keys += [submission_key(job.job_id), cancellation_key(job.job_id), progress_key(job.job_id)]
+        records += [KeyedRecord(key=key, value=None) for key in keys]
+    return records
+
+
+def _progress_record(progress: Progress | ProgressPage) -> KeyedRecord:
+    match progress:
+        case Progress():
+            key = progress_key(progress.job_id)
+        case ProgressPage():
+            key = progress_page_key(progress.job_id, progress.number)
+    return KeyedRecord(key=key, value=encode_record(progress))
--- a/packages/node/src/zinniaweir/node/recorder.py
+++ b/packages/node/src/zinniaweir/node/recorder.py
@@ -93,7 +93,7 @@
             else:
                 rejected.append(record)
                 self._report_rejected(record, "too_large")
-        for batch in _batches(fitting):
+        for batch in split_records(fitting, max_bytes=MAX_APPEND_BYTES):
             rejected += await self._write_batch(batch)
         return rejected
 
@@ -154,12 +154,18 @@
     return KEY_LENGTH_BYTES + len(record.key.encode()) + len(record.value or b"")
 
 
-def _batches(records: list[KeyedRecord]) -> list[list[KeyedRecord]]:
-    batches: list[list[KeyedRecord]] = [[]]
+def split_records(records: list[KeyedRecord], *, max_bytes: int) -> list[list[KeyedRecord]]:
+    """Split records into batches of a limited size, in their order.
+
+    Args:
+        records: The records.
+        max_bytes: Size limit of a batch; a larger record has a batch of its own.
+    """
+    batches: list[list[KeyedRecord]] = []
     size = 0
     for record in records:
         length = record_bytes(record)
-        if size + length > MAX_APPEND_BYTES and batches[-1]:
+        if not batches or size + length > max_bytes:
             batches.append([])
             size = 0
         batches[-1].append(record)
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -33,8 +33,16 @@
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.node import Node
 from zinniaweir.node.polling import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
-from zinniaweir.node.ports import Fence, KeyedRecord, Log, RejectedError, Stream, WorkerClient
-from zinniaweir.node.recorder import Recorder
+from zinniaweir.node.ports import (
+    Fence,
+    KeyedRecord,
+    Log,
+    RejectedError,
+    Stream,
+    SupersededError,
+    WorkerClient,
+)
+from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES, Recorder
 from zinniaweir.node.service import VERIFY_LOG_AGE_SECONDS
 from zinniaweir.node.view import REPLICA_READ_DELAY_SECONDS
 from zinniaweir.telemetry.counters import Counters
@@ -43,8 +51,10 @@
 from zinniaweir.workloads.records import (
     Cancellation,
     JobState,
+    PagedOwnerClaim,
     VmAddress,
     cancellation_key,
+    decode_record,
     encode_record,
 )
 from zinniaweir.workloads.spec import JobSpec, StepSpec
@@ -70,6 +80,7 @@
     peers: dict[str, Log] | None = None,
     strong: bool = True,
     time_limits: TimeLimits | None = None,
+    max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
 ) -> Node:
     return Node(
         vm=VmAddress(vm=vm, address=f"{vm}:1", failure_domain="diliman", strong=strong),
@@ -80,6 +91,7 @@
         time_limits=time_limits or TimeLimits(),
         counters=Counters(),
         timers=Timers(),
+        max_record_bytes=max_record_bytes,
     )
 
 
@@ -812,6 +824,37 @@
     run(work())
 
 
+def test_wide_job_runs_under_a_claim_that_earlier_versions_cannot_follow(
+    memory_log: MemoryLog,
+) -> None:
+    """Guards against progress over the size limit, and against an owner that reads no pages.
+
+    A VM that cannot read the claim makes the next one after the last that it has read.
+    """
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+    workers = MemoryWorkers()
+    wide = JobSpec(payload="x", steps=(StepSpec(count=100),))
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers, max_record_bytes=600)
+        async with running(node):
+            await until(lambda: node.owner is not None)
+            await node.service.submit(PARISH, TERMS, "job1", wide, deadline=deadline())
+            await until(lambda: len({task for _, task, _, _ in workers.started}) == 100)
+            assert node.owner is not None
+            assert node.owner.epoch == 3
+        plain = [r for r in memory_log.streams[Stream.JOBS] if r.key == "owner" and r.value]
+        claims = [decode_record(r.value) for r in plain if r.value]
+        assert {c.epoch for c in claims if not isinstance(c, PagedOwnerClaim)} == {1}
+        assert {epoch for _, _, _, epoch in workers.started} == {3}
+        with pytest.raises(SupersededError):
+            await memory_log.append([], fence=Fence(epoch=2, sequence=7))
+        sizes = [len(r.value or b"") for r in memory_log.streams[Stream.JOBS]]
+        assert max(sizes) <= 600
+
+    run(work())
+
+
 def test_job_that_fits_into_no_record_is_refused_at_once_for_good(memory_log: MemoryLog) -> None:
     """Guards against a caller that is told to come back with a job that can never be stored."""
     large = JobSpec(payload="x" * 300_000, steps=SPEC.steps)
--- a/packages/telemetry/src/zinniaweir/telemetry/events.py
+++ b/packages/telemetry/src/zinniaweir/telemetry/events.py
@@ -33,6 +33,7 @@
     "owner_fenced": "a worker or the log knows a newer owner",
     "owner_superseded": "the log has a newer claim",
     "ownership_ended": "how long an ownership lasted",
+    "pages_needed": "the progress of a job outgrew a record; the VM claims anew to store pages",
     "polls_paced": "the fleet is large, so polls of workers wait for their turn",
     "polls_throttled": "polls of workers with tasks are late, or do not wait for ends",
     "read_fault": "reading a stream of the log caused a fault of the program; it is read again",
--- a/packages/workloads/src/zinniaweir/workloads/job_table.py
+++ b/packages/workloads/src/zinniaweir/workloads/job_table.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import TypeAlias
 
+from zinniaweir.workloads.progress_pages import merge_pages
 from zinniaweir.workloads.records import (
     OWNER_KEY,
     Cancellation,
     JobState,
     OwnerClaim,
     Progress,
+    ProgressPage,
     Record,
     Submission,
+    UnitRecord,
     VmAddress,
 )
 
+JobUpdate: TypeAlias = Progress | ProgressPage | Cancellation
+"""Records that change the entry of a job."""
+
 
 @dataclass(kw_only=True)
 class JobEntry:
@@ -24,6 +31,20 @@
     submission: Submission
     cancelled: bool = False
     progress: Progress | None = None
+    pages: dict[int, ProgressPage] = field(default_factory=dict)
+    """Pages of the progress by number; they count only if `progress` says so."""
+
+    @property
+    def paged(self) -> bool:
+        """Whether its progress is stored in pages."""
+        return self.progress is not None and self.progress.page_tasks > 0
+
+    @property
+    def units(self) -> list[UnitRecord]:
+        """Its units that were started at least once."""
+        if self.progress is None:
+            return []
+        return merge_pages(self.pages.values()) if self.paged else list(self.progress.units)
 
     @property
     def state(self) -> JobState:
@@ -39,7 +60,8 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, JobEntry] = {}
-        self._unmatched: dict[str, Progress | Cancellation] = {}
+        self._unmatched: dict[str, dict[str, JobUpdate]] = {}
+        """Records of jobs whose submission was not read yet, by job id and key."""
         self._claim: OwnerClaim | None = None
         self._vms: dict[str, VmAddress] = {}
 
@@ -62,6 +84,11 @@
         """Return a job, or None if the log has none with this id."""
         return self._jobs.get(job_id)
 
+    @property
+    def has_pages(self) -> bool:
+        """Whether the progress of any job is stored in pages."""
+        return any(entry.paged for entry in self._jobs.values())
+
     def queued_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not started."""
         return sum(
@@ -82,9 +109,9 @@
         match record:
             case Submission():
                 self._add_job(record)
-            case Progress() | Cancellation():
+            case Progress() | ProgressPage() | Cancellation():
                 if (entry := self._jobs.get(record.job_id)) is None:
-                    self._unmatched[key] = record
+                    self._unmatched.setdefault(record.job_id, {})[key] = record
                 else:
                     _update_entry(entry, record)
             case VmAddress():
@@ -99,24 +126,32 @@
         if record.job_id in self._jobs:
             return
         entry = self._jobs[record.job_id] = JobEntry(submission=record)
-        for prefix in ("c", "p"):
-            unmatched = self._unmatched.pop(f"{prefix}/{record.job_id}", None)
-            if unmatched is not None:
-                _update_entry(entry, unmatched)
+        for update in self._unmatched.pop(record.job_id, {}).values():
+            _update_entry(entry, update)
 
     def _delete(self, key: str) -> None:
-        self._unmatched.pop(key, None)
         kind, _, name = key.partition("/")
+        job_id, _, page = name.partition("/")
+        unmatched = self._unmatched.get(job_id)
+        if unmatched is not None:
+            unmatched.pop(key, None)
+            if not unmatched:
+                del self._unmatched[job_id]
         if kind == "s":
             self._jobs.pop(name, None)
+        elif kind == "p" and page.isdecimal() and job_id in self._jobs:
+            self._jobs[job_id].pages.pop(int(page), None)
         elif kind == "v":
             self._vms.pop(name, None)
         elif key == OWNER_KEY:
             self._claim = None
 
 
-def _update_entry(entry: JobEntry, record: Progress | Cancellation) -> None:
-    if isinstance(record, Progress):
-        entry.progress = record
-    else:
-        entry.cancelled = True
+def _update_entry(entry: JobEntry, record: JobUpdate) -> None:
+    match record:
+        case Progress():
+            entry.progress = record
+        case ProgressPage():
+            entry.pages[record.number] = record
+        case Cancellation():
+            entry.cancelled = True
--- a/packages/workloads/src/zinniaweir/workloads/losses.py
+++ b/packages/workloads/src/zinniaweir/workloads/losses.py
@@ -31,6 +31,11 @@
 """Workers that are lost within this time of each other may have one cause."""
 MIN_MASS_LOSS: Final = 2
 """Number of other workers lost at the same time, from which a wider failure may explain a loss."""
+MAX_LOSSES: Final = 32
+"""Number of losses that are remembered of one task or gang, so that its record stays small.
+
+Work is given up after far fewer, and losses of sound work do not count for that.
+"""
 MAX_RECENT_LOSSES: Final = 64
 """Number of lost workers that are remembered to recognize those of one time."""
 
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -112,6 +112,24 @@
     job_id: str
     state: str
     units: tuple[UnitRecord, ...] = ()
+    """Units that were started at least once; empty if they are stored in pages."""
+    page_tasks: int = 0
+    """Number of tasks of each page, 0 if the units are stored here.
+
+    Earlier versions know no pages.
+    """
+
+
+class ProgressPage(msgspec.Struct, frozen=True, kw_only=True, tag="page", omit_defaults=True):
+    """State of a part of the units of a job whose progress is too large for one record.
+
+    Pages hold consecutive tasks of the job. A gang is on each page that holds a task of it, with
+    what concerns these tasks.
+    """
+
+    job_id: str
+    number: int
+    units: tuple[UnitRecord, ...] = ()
     """Units that were started at least once."""
 
 
@@ -133,6 +151,14 @@
     """
 
 
+class PagedOwnerClaim(OwnerClaim, frozen=True, kw_only=True, tag="paged_claim", omit_defaults=True):
+    """Claim, renewal or release of an owner that may store progress in pages.
+
+    Earlier versions cannot read it, so their VMs do not own scheduling while it is the newest one:
+    they would start again what the pages hold.
+    """
+
+
 class VmAddress(msgspec.Struct, frozen=True, kw_only=True, tag="vm"):
     """Address at which other VMs reach a VM."""
 
@@ -144,7 +170,9 @@
     """Whether it has enough processor time to be preferred as the owner."""
 
 
-Record: TypeAlias = Submission | Cancellation | Progress | OwnerClaim | VmAddress
+Record: TypeAlias = (
+    Submission | Cancellation | Progress | ProgressPage | OwnerClaim | PagedOwnerClaim | VmAddress
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
@@ -165,6 +193,11 @@
     return f"p/{job_id}"
 
 
+def progress_page_key(job_id: str, number: int) -> str:
+    """Return the key of a page of a job's progress."""
+    return f"{progress_key(job_id)}/{number}"
+
+
 def vm_key(vm: str) -> str:
     """Return the key of a VM's address."""
     return f"v/{vm}"
