node: a stop counts as sent once its turn has come

Cause: a stop was marked as in flight when it was put into its queue. The queue ignores a call whose predecessor is just ending, so after a stop without an answer the next one may have counted as sent for ever, and the run would have gone on.

Change: it is marked when its turn comes.

Evidence: test_stop_that_its_queue_ignores_does_not_count_as_sent fails without the change.

--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -314,8 +314,7 @@
         for assignment in dispatcher.assignments_to_stop(
             now=now, retry_after_seconds=STOP_RETRY_INTERVAL_SECONDS
         ):
-            dispatcher.mark_stop_sent(assignment, now=now)
-            self._stops.put(assignment, partial(self._stop, assignment))
+            self._stops.put(assignment, partial(self._begin_stop, assignment))
         for worker, task, run in dispatcher.orphan_runs_to_stop(
             now=now, retry_after_seconds=STOP_RETRY_INTERVAL_SECONDS
         ):
@@ -373,6 +372,11 @@
         self._dispatcher.handle_start_answer(assignment, answer, now=boottime())
         self.wake()
 
+    def _begin_stop(self, assignment: Assignment) -> Call:
+        """Return the call of a stop."""
+        self._dispatcher.mark_stop_sent(assignment, now=boottime())
+        return self._stop(assignment)
+
     async def _stop(self, assignment: Assignment) -> None:
         worker = self._dispatcher.fleet.get(assignment.worker)
         acknowledged = False
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Hashable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Any
@@ -21,6 +21,7 @@
     WorkerEntry,
 )
 from zinniaweir.dispatch.time_limits import TimeLimits
+from zinniaweir.dispatch.units import Assignment
 from zinniaweir.node import owner as owner_module
 from zinniaweir.node.answers import (
     Accepted,
@@ -31,6 +32,7 @@
     UnknownJob,
 )
 from zinniaweir.node.boottime import boottime
+from zinniaweir.node.call_queue import Call, CallQueue
 from zinniaweir.node.node import Node
 from zinniaweir.node.polling import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
 from zinniaweir.node.ports import (
@@ -881,6 +883,51 @@
     run(work())
 
 
+def test_stop_that_its_queue_ignores_does_not_count_as_sent(
+    memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against UNASKED: a stop that counts as in flight and never was, so none follows.
+
+    A queue ignores a call while the one before it, which had no answer, is just ending.
+    """
+
+    class BusyQueue(CallQueue):
+        ignored = 0
+
+        def put(self, key: Hashable, begin: Callable[[], Call | None]) -> None:
+            if isinstance(key, Assignment) and key.stop_reason and self.ignored < 3:
+                self.ignored += 1
+                return
+            super().put(key, begin)
+
+    class StoppedWorkers(MemoryWorkers):
+        stops = 0
+
+        async def stop(self, *_args: Any, **_options: Any) -> None:
+            self.stops += 1
+
+        async def poll(self, entry: WorkerEntry, **options: Any) -> Listing:
+            rows = tuple(
+                ActiveRun(task=task, run=run, checkpoint="", percent=1)
+                for _, task, run, _ in self.started
+            )
+            return replace(await super().poll(entry, **options), running=rows)
+
+    monkeypatch.setattr(owner_module, "CallQueue", BusyQueue)
+    workers = StoppedWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await node.service.submit(PARISH, TERMS, "job1", SPEC, deadline=deadline())
+            await until(lambda: bool(workers.started))
+            await node.service.cancel(PARISH, "job1", deadline=deadline())
+            await until(lambda: workers.stops > 0)
+
+    run(work())
+
+
 def test_job_that_fits_into_no_record_is_refused_at_once_for_good(memory_log: MemoryLog) -> None:
     """Guards against a caller that is told to come back with a job that can never be stored."""
     large = JobSpec(payload="x" * 300_000, steps=SPEC.steps)
