node: an address that the log rejects ends no process

Cause: a rejected record is an error of its own since, which the loop that announces a VM's address did not catch: the process would end, and end again after each start. Before, it asked for ever.

Change: it is logged, and the VM serves callers without it.

Evidence: test_vm_whose_address_the_log_does_not_take_serves_callers fails without the change.

--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -27,6 +27,7 @@
     LogError,
     NoAnswerError,
     NothingDoneError,
+    RejectedError,
     WorkerClient,
 )
 from zinniaweir.node.recorder import DEFAULT_MAX_RECORD_BYTES
@@ -224,6 +225,10 @@
                 return
             except (NothingDoneError, NoAnswerError):
                 await asyncio.sleep(ANNOUNCE_RETRY_DELAY_SECONDS)
+            except RejectedError as error:
+                # Other VMs do not learn its address; it serves callers all the same.
+                log("record_rejected", key=record.key, error=str(error))
+                return
 
     async def _run_election(self) -> None:
         while True:
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -33,7 +33,7 @@
 )
 from zinniaweir.node.boottime import boottime
 from zinniaweir.node.call_queue import Call, CallQueue
-from zinniaweir.node.node import Node
+from zinniaweir.node.node import ANNOUNCE_RETRY_DELAY_SECONDS, Node
 from zinniaweir.node.polling import FAULT_DELAY_SECONDS, INVALID_ROWS_DELAY_SECONDS
 from zinniaweir.node.ports import (
     Fence,
@@ -883,6 +883,33 @@
     run(work())
 
 
+def test_vm_whose_address_the_log_does_not_take_serves_callers(memory_log: MemoryLog) -> None:
+    """Guards against a process that ends at each start, or asks for ever."""
+
+    class PickyLog(MemoryLog):
+        announced = 0
+
+        async def append(self, records: list[KeyedRecord], **options: Any) -> int:
+            if any(record.key.startswith("v/") for record in records):
+                self.announced += 1
+                raise RejectedError("400")
+            return await super().append(records, **options)
+
+    log = PickyLog(streams=memory_log.streams)
+
+    async def work() -> None:
+        node = new_node("v1", log, MemoryWorkers())
+        async with running(node):
+            await until(lambda: log.announced > 0)
+            await asyncio.sleep(2 * ANNOUNCE_RETRY_DELAY_SECONDS)
+            assert log.announced == 1
+            answer = await node.service.submit(PARISH, TERMS, "job1", SPEC, deadline=deadline())
+            assert answer == Accepted()
+            await until(lambda: node.view.job_table.get("job1") is not None)
+
+    run(work())
+
+
 def test_stop_that_its_queue_ignores_does_not_count_as_sent(
     memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch
 ) -> None:
