--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -46,7 +46,7 @@
 
 
 class Dispatcher:
-    """Scheduling decisions of one owner, without I/O or access to a clock.
+    """Scheduling decisions of one owner, without I/O.
 
     Args:
         now: Current time in seconds, when the ownership began.
