node: an owner that has ended sends no calls that waited

Cause: a call that ends lets the next one of its queue begin. When an owner ends, it cancels its calls, each of which let another begin, which nothing cancelled any more. Workers fence such calls off once the next owner has asked them.

Change: the queues are closed before the calls are cancelled.

Evidence: test_owner_sends_no_more_starts_once_it_has_ended fails without the change.

--- a/packages/node/src/zinniaweir/node/call_queue.py
+++ b/packages/node/src/zinniaweir/node/call_queue.py
@@ -25,6 +25,7 @@
         self._spawn = spawn
         self._waiting: dict[Hashable, Callable[[], Call | None]] = {}
         self._in_flight: set[Hashable] = set()
+        self._closed = False
 
     def put(self, key: Hashable, begin: Callable[[], Call | None]) -> None:
         """Add a call, unless one with this key waits or is in flight.
@@ -33,11 +34,16 @@
             key: What the call is about.
             begin: Returns the call when its turn has come, None if it is not to be sent any more.
         """
-        if key in self._waiting or key in self._in_flight:
+        if self._closed or key in self._waiting or key in self._in_flight:
             return
         self._waiting[key] = begin
         self._send()
 
+    def close(self) -> None:
+        """Drop the calls that wait; those that are cancelled next make room for no others."""
+        self._closed = True
+        self._waiting.clear()
+
     def _send(self) -> None:
         while self._waiting and len(self._in_flight) < self._max_in_flight:
             key = next(iter(self._waiting))
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -204,6 +204,8 @@
                 self.spawn(loop).add_done_callback(self._on_loop_done)
             await self._end_requested.wait()
         finally:
+            self._starts.close()
+            self._stops.close()
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/node/tests/test_call_queue.py
+++ b/packages/node/tests/test_call_queue.py
@@ -61,3 +61,33 @@
         assert begun == [0, 1, 2, 3]
 
     asyncio.run(work())
+
+
+def test_closed_queue_sends_nothing_when_its_calls_are_cancelled() -> None:
+    """Guards against starts that an owner sends after its end, as each cancelled one made room."""
+    begun: list[int] = []
+
+    async def call(number: int) -> None:
+        begun.append(number)
+        await asyncio.Event().wait()
+
+    async def work() -> None:
+        tasks: list[asyncio.Task[None]] = []
+
+        def spawn(coroutine: Call) -> asyncio.Task[None]:
+            tasks.append(asyncio.create_task(coroutine))
+            return tasks[-1]
+
+        queue = CallQueue(max_in_flight=1, spawn=spawn)
+        for number in range(4):
+            queue.put(number, lambda number=number: call(number))
+        await asyncio.sleep(0)
+        queue.close()
+        tasks[0].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.01)
+        queue.put(9, lambda: call(9))
+        assert begun == [0]
+        assert len(tasks) == 1
+
+    asyncio.run(work())
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -955,6 +955,37 @@
     run(work())
 
 
+def test_owner_sends_no_more_starts_once_it_has_ended(
+    memory_log: MemoryLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against starts of a superseded owner that waited for others to be answered."""
+
+    class SilentWorkers(MemoryWorkers):
+        async def start(self, *arguments: Any, **options: Any) -> StartAnswer:
+            await super().start(*arguments, **options)
+            await asyncio.Event().wait()
+            return StartAnswer.UNKNOWN
+
+    monkeypatch.setattr(owner_module, "MAX_STARTS_IN_FLIGHT", 1)
+    workers = SilentWorkers()
+    memory_log.put(Stream.WORKERS, "w1", b"ok")
+    wide = JobSpec(payload="x", steps=(StepSpec(count=5),))
+
+    async def work() -> None:
+        node = new_node("v1", memory_log, workers)
+        async with running(node):
+            await node.service.submit(PARISH, TERMS, "job1", wide, deadline=deadline())
+            await until(lambda: bool(workers.started))
+            owner = node.owner
+            assert owner is not None
+            owner.step_down()
+            await until(lambda: node.owner is not owner)
+            await asyncio.sleep(0.05)
+            assert len({task for _, task, _, epoch in workers.started if epoch == 1}) == 1
+
+    run(work())
+
+
 def test_job_that_fits_into_no_record_is_refused_at_once_for_good(memory_log: MemoryLog) -> None:
     """Guards against a caller that is told to come back with a job that can never be stored."""
     large = JobSpec(payload="x" * 300_000, steps=SPEC.steps)
