Review: case 11 is the cancelling, and the crash case is dropped

Change: the job that runs after its cancelling was answered with 410 takes number 11. The scripts end their processes on SIGTERM, too.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Three crashes of the same workers make a sound job `failed`, though no run of it failed."""
+"""A job whose cancelling was answered with 410 runs from its start to its end all the same."""
 
 from __future__ import annotations
 
@@ -11,64 +11,64 @@
 
 from zinniaweir_soak.workers import JobSpec
 
-WORKERS: Final = 24
-CRASHING: Final = 3
-"""A share of 0.125 of the workers; `srv_crash` has 0.156 at most."""
-CRASHES: Final = 3
-UP_SECONDS: Final = 0.9
-"""Time from the job's start, or the workers' return, to their next crash."""
-DOWN_SECONDS: Final = 1.0
-"""Time for which they are down; `srv_crash` has 4.98 s at most."""
-BUSY_SECONDS: Final = 11.0
-"""Run time of the usual load, the longest of the sheets."""
-TASK_SECONDS: Final = 6.1
-"""Run time of the job's tasks, as `fee-reconcile` has it."""
-WAIT_SECONDS: Final = 45.0
+LATE_SECONDS: Final = 2.0
+"""`platform_lost` with `late`: done 1 to 6 s later, and not answered."""
+LOST_SECONDS: Final = 1.0
+"""Time for which answers are lost; `platform_lost` has 4.5 s at most."""
+LOST_SHARE: Final = 0.35
+"""Its largest share of the writes."""
+PATIENCE_SECONDS: Final = 0.3
+"""Time after which the client leaves and cancels what it handed in."""
+TASK_SECONDS: Final = 9.5
+"""Run time of the job's tasks, as `analemma-sweep` has it."""
+CONTACT_SECONDS: Final = 3.0
+"""`contactMs`: after it, a disruption is not near any more."""
+CANCEL_SECONDS: Final = 3.0
+"""`cancel_ms`"""
+STOP_SECONDS: Final = 0.2
+"""`stopMs`"""
+WATCH_SECONDS: Final = 14.0
 
 
 async def case(world: World) -> bool:
-    """Return whether the job is not shown as failed."""
-    whole = {"cpu": 26_000, "memMb": 68_000, "gpu": 8}
-    small = {"cpu": 5_600, "memMb": 20_000, "gpu": 1}
-    usual = JobSpec(
-        count=WORKERS - CRASHING, gang=False, seconds=BUSY_SECONDS, fails=False, resources=whole
-    )
-    _, status = await world.submit("bulk", usual)
-    if status != 200:
-        raise CannotRunError("the usual load was not accepted")
-    await asyncio.sleep(1.0)
-    busy = set(world.observer.running.values())
-    free = [s.index for s in world.slots if s.worker and s.worker.name not in busy]
-    batch = JobSpec(
-        count=CRASHING * 8, gang=False, seconds=TASK_SECONDS, fails=False, resources=small
-    )
-    job, status = await world.submit("fees", batch)
-    if status != 200 or len(free) != CRASHING:
-        raise CannotRunError("the job was not accepted, or finds other workers")
+    """Return whether the job's tasks are gone in time after the cancelling was answered."""
+    size = {"cpu": 5_600, "memMb": 20_000, "gpu": 1}
+    spec = JobSpec(count=3, gang=False, seconds=TASK_SECONDS, fails=False, resources=size)
+    job = world.new_id()
+    store, began_at = world.store, time.monotonic()
+    lost_until, writes = began_at + LOST_SECONDS, store.writes
     if trouble():
-        await crash_repeatedly(world, free)
-    until = time.monotonic() + WAIT_SECONDS
-    state = ""
-    while time.monotonic() < until and state not in ("complete", "failed"):
-        await asyncio.sleep(0.5)
-        state = await world.state("fees", job)
-    runs = sum(job in task for _, task, *_ in world.observer.starts)
-    world.record.write(f"the job is {state} after {runs} runs, none of which ended `failed`")
-    if state not in ("complete", "failed"):
-        raise CannotRunError("the job has not ended")
-    return state == "complete"
-
-
-async def crash_repeatedly(world: World, indexes: list[int]) -> None:
-    """Let workers crash and start again under their ids, some times."""
-    for _ in range(CRASHES):
-        await asyncio.sleep(UP_SECONDS)
-        for index in indexes:
-            await world.crash(index)
-        await asyncio.sleep(DOWN_SECONDS)
-        for index in indexes:
-            await world.restart(index)
+        key = f"s/{job}".encode()
+        store.late_by = lambda body: LATE_SECONDS if key in body and not store.late_writes else 0.0
+    try:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            _, status = await world.submit("fees", spec, job_id=job, vm=world.vms[0], attempts=1)
+        world.record.write(f"the client has the answer {status}, and cancels")
+    except TimeoutError:
+        world.record.write(f"the client leaves after {PATIENCE_SECONDS:g} s, and cancels")
+    answer = await world.ask(world.vms[1], "DELETE", "fees", job)
+    answered_at = time.monotonic()
+    if answer.status not in (200, 202, 204, 410):
+        raise CannotRunError("the cancelling was not acknowledged")
+    await asyncio.sleep(max(lost_until - answered_at, 0.0))
+    lost, written = store.late_writes, store.writes - writes
+    world.record.write(f"{lost} of {written} writes were done late and not answered")
+    if lost > LOST_SHARE * written:
+        raise CannotRunError("more answers were lost than the pages say")
+    calm_at = max(answered_at, lost_until + CONTACT_SECONDS)
+    gone_by = calm_at + CANCEL_SECONDS + STOP_SECONDS
+    longest = 0.0
+    while time.monotonic() - answered_at < WATCH_SECONDS:
+        if any(job in task for task, _ in world.observer.running):
+            longest = max(longest, time.monotonic() - gone_by)
+        await asyncio.sleep(0.05)
+    state = await world.state("fees", job)
+    world.record.write(
+        f"its tasks ran on for {longest:.2f} s after the time by which they have to be gone, which"
+        f" is {gone_by - answered_at:.2f} s after the answer; the job is {state}"
+    )
+    return longest <= 0.0
 
 
 if __name__ == "__main__":
-    sys.exit(play(case, workers=WORKERS))
+    sys.exit(play(case, workers=24))
--- a/review/standins_3/world.py
+++ b/review/standins_3/world.py
@@ -580,13 +580,16 @@
     kept = os.environ.get("KEEP_LOGS")
     world = World(record=record, folder=Path(kept) if kept else folder, **options)
     prepare(world)
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(110.0):
             await world.open()
             held = await case(world)
         record.write("held" if held else "BROKEN")
         return 0 if held else 1
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write(f"cannot run: {error!r}")
         return 2
     finally:
