dispatch: a job that is taken as cancelled is closed and later removed

What was seen: the records of such a job stay on the log, and in the memory of each VM, for good.

Cause: `add_job` took a job whose cancellation was on the log, but not yet its end, without closing it. Nothing ever set `ended_at`, by which ended jobs expire. It happens if the owner ends between the two records, or if pages bring the cancellation first.

Change: such a job is closed as one that is cancelled later: its end is recorded, its runs are stopped, it expires.

Result: test_job_that_was_taken_as_cancelled_is_removed_after_its_retention fails without the change and passes with it.

--- a/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/dispatcher.py
@@ -199,6 +199,9 @@
             units=len(job.units),
             seats=job.assignment_count,
         )
+        if job.cancelled and job.ended_at is None:
+            # Its cancellation came first, or no owner has recorded yet that it ended.
+            self._runs.close_job(job, "cancelled", now)
 
     def cancel_job(self, job_id: str, *, now: float) -> None:
         """Cancel a job that has not ended; its runs are stopped."""
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from zinniaweir.dispatch.messages import Listing, RunEnd, StartAnswer
@@ -440,6 +442,15 @@
     assert [job.job_id for job in changes.expired_jobs] == ["j1"]
 
 
+def test_job_that_was_taken_as_cancelled_is_removed_after_its_retention(cluster: Cluster) -> None:
+    """Guards against records of cancelled jobs that stay on the log for good."""
+    cluster.add(replace(job("j1"), cancelled=True))
+    cluster.run(0.5)
+    assert cluster.state("j1") == "cancelled"
+    changes = cluster.dispatcher.collect_changes(now=cluster.now + 181.0)
+    assert [job.job_id for job in changes.expired_jobs] == ["j1"]
+
+
 def test_progress_round_trips(cluster: Cluster) -> None:
     """Guards against a new owner that loses failures or run numbers."""
     entry = job("j1", StepSpec(count=3, accelerators=1))
