dispatch: a job whose progress says that it is cancelled does not start again

Cause: the owner took a recorded state of `cancelled` for open work unless the log also had the job's cancellation under its own key. Both were always there so far. A test of early cancellations, which have another key, started such a job four times after a restart.

Change: a job is cancelled if its entry's state is.

Result: test_job_that_was_recorded_as_cancelled_does_not_start_again fails without the change ('running' instead of 'cancelled') and passes with it.

--- a/packages/dispatch/src/zinniaweir/dispatch/units.py
+++ b/packages/dispatch/src/zinniaweir/dispatch/units.py
@@ -284,7 +284,7 @@
         self.payload = submission.spec.payload
         self.accepted_at = now - age
         """When the job was accepted, in seconds of the owner's clock."""
-        self.cancelled = entry.cancelled
+        self.cancelled = entry.state is JobState.CANCELLED
         self.failed = False
         self.recorded_by_state = False
         """Whether its state alone is recorded, since the log does not take its progress."""
--- a/packages/dispatch/tests/test_dispatcher.py
+++ b/packages/dispatch/tests/test_dispatcher.py
@@ -10,6 +10,7 @@
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.dispatch.units import Assignment, OwnedJob
 from zinniaweir.workloads.job_table import JobEntry
+from zinniaweir.workloads.records import JobState, Progress
 from zinniaweir.workloads.spec import StepSpec
 
 from .conftest import Cluster, FakeRun, FakeWorker, job, worker_entry
@@ -451,6 +452,15 @@
     assert [job.job_id for job in changes.expired_jobs] == ["j1"]
 
 
+def test_job_that_was_recorded_as_cancelled_does_not_start_again(cluster: Cluster) -> None:
+    """Guards against an owner that reads only the record of the end, not the cancellation."""
+    progress = Progress(job_id="j1", state=JobState.CANCELLED)
+    cluster.add(replace(job("j1"), progress=progress))
+    cluster.run(0.5)
+    assert cluster.state("j1") == "cancelled"
+    assert not any(fake.runs for fake in cluster.workers.values())
+
+
 def test_progress_round_trips(cluster: Cluster) -> None:
     """Guards against a new owner that loses failures or run numbers."""
     entry = job("j1", StepSpec(count=3, accelerators=1))
