service: no record is sent long after its caller has left

Cause: the time until which an append is repeated was checked before the pause between two tries and not after it, and a timeout of 0 does not stop a call on a kept connection. A VM that was suspended meanwhile sent the submission when it woke. A caller's deadline also had no limit, so a VM could repeat a submission for hours, also after the job's records had been removed.

--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -61,6 +61,8 @@
 """An answer is sent this long before the caller's deadline."""
 ANSWER_MARGIN_SHARE: Final = 0.2
 """Limit of the answer margin as a share of the remaining time, for callers with short deadlines."""
+MAX_APPEND_SECONDS: Final = 30.0
+"""How long a record is appended again, however late the caller's deadline is."""
 APPEND_RETRY_DELAY_SECONDS: Final = 0.05
 SETTINGS_RETRY_AFTER_SECONDS: Final = 60
 """Delay that is stated where only a change of the operators' settings can help."""
@@ -260,13 +262,16 @@
             except LogError:
                 return self.refuse(Refusal.LOG_UNAVAILABLE)
         margin = ANSWER_MARGIN_SHARE * max(deadline - boottime(), 0.0)
-        until = deadline - min(ANSWER_MARGIN_SECONDS, margin)
+        until = min(deadline - min(ANSWER_MARGIN_SECONDS, margin), boottime() + MAX_APPEND_SECONDS)
         refuse_at = min(until, boottime() + REJECTED_APPEND_TIMEOUT_SECONDS)
         outcome_unknown = False
         while True:
+            sent_at = boottime()
+            if sent_at >= until:
+                # The VM may have been suspended, and the caller has left.
+                return self._append_failure(outcome_unknown)
             try:
-                sent_at = boottime()
-                async with asyncio.timeout(max(until - sent_at, 0.0)):
+                async with asyncio.timeout(until - sent_at):
                     await self._log_port.append([record], timeout_seconds=self._timeout.seconds)
                 self._timeout.record_answer(boottime() - sent_at)
                 return Accepted()
