service: a job that is not on the log can be cancelled

The client had left its POST after 0.3 s without an answer.

Cause: the DELETE concluded from one read of the log that there was no such job, and recorded nothing. Its append was still under way: at the store, which carries out calls without an answer seconds later, at the first VM, which repeats it, or at a VM that relays it.

Change: such a DELETE records an early cancellation, which names the job and the customer. The fold applies it to a submission of this customer whichever of the two is read first. It has a key of its own, so no other caller can replace it, and is removed by the owner 120 s after it was read, when a submission that was sent before it has arrived. Once it has cancelled a job, a plain cancellation is appended, since the early one is removed and earlier versions cannot read it. A customer has at most 512 on the log, all customers 4,096; beyond that a DELETE is refused (too_many_cancellations). In a known outage an unknown job is refused at once, without a read that cannot succeed.

--- a/packages/node/src/zinniaweir/node/answers.py
+++ b/packages/node/src/zinniaweir/node/answers.py
@@ -20,6 +20,10 @@
     """A gang or a task of the job needs more than its customer may use at a time."""
     TOO_LARGE = "too_large"
     """The job does not fit into a record of the log."""
+    CANCELLED = "cancelled"
+    """The job was cancelled before it was on the log, so it never runs."""
+    TOO_MANY_CANCELLATIONS = "too_many_cancellations"
+    """The customer has cancelled too many jobs that are not on the log."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/packages/node/src/zinniaweir/node/node.py
+++ b/packages/node/src/zinniaweir/node/node.py
@@ -10,6 +10,7 @@
 
 from zinniaweir.dispatch.time_limits import TimeLimits
 from zinniaweir.node.boottime import boottime
+from zinniaweir.node.cancellation_confirmer import CancellationConfirmer
 from zinniaweir.node.claim_policy import (
     READ_SECONDS,
     SMALL_VM_DELAY_SECONDS,
@@ -127,6 +128,12 @@
             vacancy_delay=0.0 if vm.strong else SMALL_VM_DELAY_SECONDS,
             normal_read_seconds=read_delay + JOBS_READ_WAIT_SECONDS + READ_SECONDS,
         )
+        self._confirmer = CancellationConfirmer(
+            view=self._view,
+            log_port=self._log_port,
+            is_owner=lambda: self._owner is not None,
+            counters=counters,
+        )
         self._owner: Owner | None = None
         self._ended_epoch = 0
         self._claimed_epoch = 0
@@ -169,6 +176,7 @@
             group.create_task(self._view.operators.run())
             group.create_task(self._run_election())
             group.create_task(self._announce())
+            group.create_task(self._confirmer.run())
 
     async def stop(self) -> None:
         """Report the VM as not ready and release the ownership if this VM has it."""
@@ -336,6 +344,7 @@
 
     def _on_fresh(self, previous_at: float, at: float) -> None:
         self._claim_policy.observe(self._view.job_table.claim, previous_at=previous_at, at=at)
+        self._confirmer.notify()
         if self._owner is None:
             self._election_wake.set()
 
--- a/packages/node/src/zinniaweir/node/owner.py
+++ b/packages/node/src/zinniaweir/node/owner.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Coroutine
 from functools import partial
+from itertools import islice
 from typing import Any, Final
 
 from zinniaweir.dispatch.changes import Changes
@@ -64,6 +65,8 @@
 """Number of starts in flight, over all workers."""
 MAX_STOPS_IN_FLIGHT: Final = 256
 """The same of stops."""
+MAX_EARLY_CANCELLATION_REMOVALS: Final = 100
+"""Number of early cancellations that are removed in one append."""
 LOADING_TASKS: Final = 1_000
 """Number of tasks of recorded jobs after which a new owner lets renewals and callers in."""
 LONG_PASS_SECONDS: Final = 0.02
@@ -430,7 +433,8 @@
             if not changes.is_empty or boottime() >= renewal_at or releasing:
                 renewal_at = boottime() + RENEWAL_INTERVAL_SECONDS
                 try:
-                    await self._write(records_of(changes), releasing=releasing)
+                    records = records_of(changes) + self._early_cancellation_removals()
+                    await self._write(records, releasing=releasing)
                 except SupersededError as error:
                     self._counters.add("fenced", reason="log")
                     log("owner_fenced", by="log", epoch=self.epoch, error=str(error))
@@ -449,6 +453,12 @@
             except TimeoutError:
                 continue
 
+    def _early_cancellation_removals(self) -> list[KeyedRecord]:
+        """Return records that remove early cancellations which no submission needs any more."""
+        keys = self._view.job_table.removable_early_cancellations()
+        removed = islice(keys, MAX_EARLY_CANCELLATION_REMOVALS)
+        return [KeyedRecord(key=key, value=None) for key in removed]
+
     async def _write(self, records: list[KeyedRecord], *, releasing: bool) -> None:
         """Write records and a renewal; a job of which the log does not take a record is given up.
 
--- a/packages/node/src/zinniaweir/node/service.py
+++ b/packages/node/src/zinniaweir/node/service.py
@@ -5,7 +5,10 @@
 import asyncio
 import contextlib
 import random
+import secrets
 import time
+from collections import Counter
+from collections.abc import Callable
 from typing import Final
 
 from zinniaweir.node.adaptive_timeout import AdaptiveTimeout
@@ -32,13 +35,16 @@
 from zinniaweir.node.view import View
 from zinniaweir.telemetry.counters import Counters
 from zinniaweir.telemetry.logs import log
+from zinniaweir.workloads.early_cancellations import EARLY_CANCELLATION_SECONDS
 from zinniaweir.workloads.job_table import JobEntry
 from zinniaweir.workloads.queues import Customer, QueueTerms, ResourceLimit
 from zinniaweir.workloads.quotas import fits_quota
 from zinniaweir.workloads.records import (
     Cancellation,
+    EarlyCancellation,
     Submission,
     cancellation_key,
+    early_cancellation_key,
     encode_record,
     submission_key,
 )
@@ -62,7 +68,10 @@
 ANSWER_MARGIN_SHARE: Final = 0.2
 """Limit of the answer margin as a share of the remaining time, for callers with short deadlines."""
 MAX_APPEND_SECONDS: Final = 30.0
-"""How long a record is appended again, however late the caller's deadline is."""
+"""How long a record is appended again, however late the caller's deadline is.
+
+A submission that arrived after its early cancellation was removed would run.
+"""
 APPEND_RETRY_DELAY_SECONDS: Final = 0.05
 SETTINGS_RETRY_AFTER_SECONDS: Final = 60
 """Delay that is stated where only a change of the operators' settings can help."""
@@ -104,6 +113,8 @@
         self._counters = counters
         self._max_record_bytes = max_record_bytes
         self._timeout = AdaptiveTimeout()
+        self._early_in_flight: Counter[str] = Counter()
+        """Number of early cancellations that are being recorded, by customer."""
 
     @property
     def ready(self) -> bool:
@@ -139,11 +150,11 @@
             spec: The job.
             deadline: When the caller stops waiting, in seconds of `boottime`.
         """
-        if self._view.job_table.get(job_id) is not None:
-            return Accepted()
+        if (settled := self._settled(customer, job_id)) is not None:
+            return settled
         submission = Submission(
             job_id=job_id,
-            customer=customer.name if customer else "",
+            customer=_name_of(customer),
             terms=terms,
             spec=spec,
             accepted_at=time.time(),
@@ -151,7 +162,9 @@
         quota = customer.quota if customer else ResourceLimit()
         if all(fits_quota(step, quota) for step in spec.steps):
             record = KeyedRecord(key=submission_key(job_id), value=encode_record(submission))
-            answer = await self._store(record, job_id, deadline=deadline)
+            answer = await self._store(
+                record, deadline=deadline, settled=lambda: self._settled(customer, job_id)
+            )
         else:
             answer = await self._refuse_unless_accepted(job_id)
         log(
@@ -165,6 +178,18 @@
         )
         return answer
 
+    def _settled(self, customer: Customer | None, job_id: str) -> Accepted | Refused | None:
+        """Return the answer to a submission whose outcome the log tells, None if it does not."""
+        if self._view.job_table.get(job_id) is not None:
+            return Accepted()
+        if self._view.job_table.early_cancellations.covers(job_id, _name_of(customer)):
+            # An earlier copy may still arrive; it is cancelled too.
+            self._counters.add("refusals", reason=Refusal.CANCELLED)
+            return Refused(
+                reason=Refusal.CANCELLED, retry_after_seconds=int(EARLY_CANCELLATION_SECONDS)
+            )
+        return None
+
     async def _refuse_unless_accepted(self, job_id: str) -> Accepted | Refused:
         """Refuse a job that can never run, unless it was accepted before.
 
@@ -189,20 +214,53 @@
     async def cancel(
         self, customer: Customer | None, job_id: str, *, deadline: float
     ) -> Accepted | UnknownJob | Refused | OutcomeUnknown:
-        """Cancel a job; a job that has ended keeps its state."""
-        found = await self._find(customer, job_id)
-        if not isinstance(found, JobEntry):
+        """Cancel a job; a job that has ended keeps its state.
+
+        A job that the log does not have is cancelled as well, since its submission may be on its
+        way. The answer is then that it is not known, as for a job of another customer.
+        """
+        try:
+            async with asyncio.timeout(max(_answer_time(deadline) - boottime(), 0.0)):
+                found = await self._find(customer, job_id)
+        except TimeoutError:
+            return self.refuse(Refusal.LOG_UNAVAILABLE)
+        if isinstance(found, Refused):
             return found
+        if isinstance(found, UnknownJob):
+            if self._view.job_table.get(job_id) is not None:
+                return found
+            return await self._cancel_early(customer, job_id, deadline=deadline)
         if found.state.ended:
             return Accepted()
         record = KeyedRecord(
             key=cancellation_key(job_id),
             value=encode_record(Cancellation(job_id=job_id, at=time.time())),
         )
-        answer = await self._store(record, job_id, deadline=deadline)
+        answer = await self._store(record, deadline=deadline)
         log("cancellation_answered", job_id=job_id, answer=type(answer).__name__)
         return answer
 
+    async def _cancel_early(
+        self, customer: Customer | None, job_id: str, *, deadline: float
+    ) -> UnknownJob | Refused | OutcomeUnknown:
+        """Record the cancellation of a job that is not on the log."""
+        name = _name_of(customer)
+        cancellations = self._view.job_table.early_cancellations
+        if not cancellations.has_room(name, pending=self._early_in_flight):
+            return self.refuse(Refusal.TOO_MANY_CANCELLATIONS)
+        cancellation = EarlyCancellation(job_id=job_id, customer=name, at=time.time())
+        record = KeyedRecord(
+            key=early_cancellation_key(job_id, secrets.token_hex(4)),
+            value=encode_record(cancellation),
+        )
+        self._early_in_flight[name] += 1
+        try:
+            answer = await self._store(record, deadline=deadline)
+        finally:
+            self._early_in_flight[name] -= 1
+        log("early_cancellation_answered", job_id=job_id, answer=type(answer).__name__)
+        return UnknownJob() if isinstance(answer, Accepted) else answer
+
     def pending(self, terms: QueueTerms) -> Pending | Refused:
         """Return how many jobs of a queue have not started."""
         if self._view.age > self._max_view_age_seconds:
@@ -226,6 +284,8 @@
         entry = self._view.job_table.get(job_id)
         if entry is None:
             # Another VM may have accepted the job since the last read.
+            if self._outage_known:
+                return self.refuse(Refusal.LOG_UNAVAILABLE)
             try:
                 await self._view.jobs.catch_up()
             except LogError:
@@ -245,24 +305,41 @@
                 async with asyncio.timeout(STATE_READ_TIMEOUT_SECONDS):
                     await self._view.jobs.catch_up()
 
+    @property
+    def _outage_known(self) -> bool:
+        """Whether a read of the log has just failed, so that another one would only take time."""
+        jobs = self._view.jobs
+        recently_failed = boottime() - jobs.failed_at < RECENT_FAILURE_SECONDS
+        return recently_failed and jobs.age > VERIFY_LOG_AGE_SECONDS
+
     async def _store(
-        self, record: KeyedRecord, job_id: str, *, deadline: float
+        self,
+        record: KeyedRecord,
+        *,
+        deadline: float,
+        settled: Callable[[], Accepted | Refused | None] = lambda: None,
     ) -> Accepted | Refused | OutcomeUnknown:
         """Append a record, and retry until the deadline.
 
         Appending a record twice is harmless, because only the first one takes effect.
+
+        Args:
+            record: The record.
+            deadline: When the caller stops waiting, in seconds of `boottime`.
+            settled: Returns the answer if the log tells it, so that the record is not needed.
         """
         if record_bytes(record) > self._max_record_bytes:
             return self._refuse_record()
+        until = min(_answer_time(deadline), boottime() + MAX_APPEND_SECONDS)
         if self._view.jobs.age > VERIFY_LOG_AGE_SECONDS:
-            if boottime() - self._view.jobs.failed_at < RECENT_FAILURE_SECONDS:
+            if self._outage_known:
                 return self.refuse(Refusal.LOG_UNAVAILABLE)
             try:
                 await self._view.jobs.catch_up()
             except LogError:
                 return self.refuse(Refusal.LOG_UNAVAILABLE)
-        margin = ANSWER_MARGIN_SHARE * max(deadline - boottime(), 0.0)
-        until = min(deadline - min(ANSWER_MARGIN_SECONDS, margin), boottime() + MAX_APPEND_SECONDS)
+            if (answer := settled()) is not None:
+                return answer
         refuse_at = min(until, boottime() + REJECTED_APPEND_TIMEOUT_SECONDS)
         outcome_unknown = False
         while True:
@@ -283,11 +360,8 @@
                 self._counters.add("append_retries", reason="nothing_done")
             except RejectedError:
                 return self._refuse_record()
-            if (
-                record.key == submission_key(job_id)
-                and self._view.job_table.get(job_id) is not None
-            ):
-                return Accepted()
+            if (answer := settled()) is not None:
+                return answer
             now = boottime()
             if now + APPEND_RETRY_DELAY_SECONDS >= (until if outcome_unknown else refuse_at):
                 return self._append_failure(outcome_unknown)
@@ -303,3 +377,14 @@
             self._counters.add("unknown_outcomes", reason="append")
             return OutcomeUnknown()
         return self.refuse(Refusal.LOG_UNAVAILABLE)
+
+
+def _name_of(customer: Customer | None) -> str:
+    """Return the name under which a caller's jobs are recorded, empty for one without a key."""
+    return customer.name if customer else ""
+
+
+def _answer_time(deadline: float) -> float:
+    """Return when a caller is answered at the latest, in seconds of `boottime`."""
+    margin = ANSWER_MARGIN_SHARE * max(deadline - boottime(), 0.0)
+    return deadline - min(ANSWER_MARGIN_SECONDS, margin)
--- a/packages/node/src/zinniaweir/node/view.py
+++ b/packages/node/src/zinniaweir/node/view.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from zinniaweir.dispatch.messages import WorkerEntry
+from zinniaweir.node.boottime import boottime
 from zinniaweir.node.follower import Follower
 from zinniaweir.node.ports import Decoder, Evacuation, KeyedRecord, Log, Stream
 from zinniaweir.telemetry.counters import Counters
@@ -15,6 +16,7 @@
 from zinniaweir.workloads.queues import Configuration
 from zinniaweir.workloads.records import (
     Cancellation,
+    EarlyCancellation,
     OwnerClaim,
     RecordError,
     Submission,
@@ -64,7 +66,7 @@
         self._counters = counters
         self._replica_read_delay_seconds = replica_read_delay_seconds
         self._operators_wait_seconds = OPERATORS_READ_SHARE * max_age_seconds
-        self._job_table = JobTable()
+        self._job_table = JobTable(clock=boottime)
         self._configuration: Configuration | None = None
         self._evacuated: dict[str, str] = {}
         self._workers: dict[str, WorkerEntry] = {}
@@ -95,7 +97,10 @@
         self.on_submission: Callable[[Submission], None] = lambda _: None
         """Called with each accepted job that is read."""
         self.on_cancellation: Callable[[str], None] = lambda _: None
-        """Called with the job id of each cancellation that is read."""
+        """Called with the id of each job whose cancellation is read.
+
+        An early cancellation counts once its job is read as well.
+        """
         self.on_claim: Callable[[OwnerClaim], None] = lambda _: None
         """Called with each ownership claim that is read."""
         self.on_change: Callable[[], None] = lambda: None
@@ -156,7 +161,7 @@
         )
 
     def _reset_jobs(self) -> None:
-        self._job_table = JobTable()
+        self._job_table = JobTable(clock=boottime)
 
     def _apply_job(self, record: KeyedRecord) -> None:
         if record.value is None:
@@ -171,11 +176,19 @@
         match decoded:
             case Submission():
                 self.on_submission(decoded)
+                self._report_cancelled(decoded.job_id)
             case Cancellation():
                 self.on_cancellation(decoded.job_id)
+            case EarlyCancellation():
+                self._report_cancelled(decoded.job_id)
             case OwnerClaim():
                 self.on_claim(decoded)
 
+    def _report_cancelled(self, job_id: str) -> None:
+        entry = self._job_table.get(job_id)
+        if entry is not None and entry.cancelled:
+            self.on_cancellation(job_id)
+
     def _reset_operators(self) -> None:
         self._evacuated = {}
 
--- a/packages/workloads/src/zinniaweir/workloads/records.py
+++ b/packages/workloads/src/zinniaweir/workloads/records.py
@@ -52,6 +52,19 @@
     """Wall-clock time in seconds."""
 
 
+class EarlyCancellation(msgspec.Struct, frozen=True, kw_only=True, tag="early_cancellation"):
+    """The cancellation of a job that the log did not have, whose submission may still arrive.
+
+    It cancels only a job of the customer that it names. Earlier versions cannot read it.
+    """
+
+    job_id: str
+    customer: str
+    """Customer that cancelled, empty for a caller without a key."""
+    at: float
+    """Wall-clock time in seconds; only informational."""
+
+
 class AssignmentRecord(msgspec.Struct, frozen=True, array_like=True):
     """The worker on which one task of a run may be running."""
 
@@ -171,7 +184,14 @@
 
 
 Record: TypeAlias = (
-    Submission | Cancellation | Progress | ProgressPage | OwnerClaim | PagedOwnerClaim | VmAddress
+    Submission
+    | Cancellation
+    | EarlyCancellation
+    | Progress
+    | ProgressPage
+    | OwnerClaim
+    | PagedOwnerClaim
+    | VmAddress
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -188,6 +208,16 @@
     return f"c/{job_id}"
 
 
+def early_cancellation_key(job_id: str, number: str) -> str:
+    """Return the key of an early cancellation.
+
+    Args:
+        job_id: The job.
+        number: Random number that distinguishes it from others of the same job.
+    """
+    return f"e/{job_id}/{number}"
+
+
 def progress_key(job_id: str) -> str:
     """Return the key of a job's progress."""
     return f"p/{job_id}"
--- a/packages/workloads/tests/test_job_table.py
+++ b/packages/workloads/tests/test_job_table.py
@@ -8,10 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from zinniaweir.workloads.early_cancellations import EARLY_CANCELLATION_SECONDS
 from zinniaweir.workloads.job_table import JobTable
 from zinniaweir.workloads.queues import QueueTerms
 from zinniaweir.workloads.records import (
     Cancellation,
+    EarlyCancellation,
     JobState,
     OwnerClaim,
     Progress,
@@ -20,6 +22,7 @@
     Submission,
     cancellation_key,
     decode_record,
+    early_cancellation_key,
     encode_record,
     progress_key,
     submission_key,
@@ -118,3 +121,55 @@
     """Guards against a record that decodes and then causes an error in each owner that reads it."""
     with pytest.raises(RecordError):
         decode_record(encode_record(record))
+
+
+def early_cancellation(customer: str = "parish") -> EarlyCancellation:
+    return EarlyCancellation(job_id="a1", customer=customer, at=1.0)
+
+
+@pytest.mark.parametrize("customer", ["parish", "depots", ""])
+@pytest.mark.parametrize("submission_first", [False, True])
+def test_early_cancellation_counts_for_its_customer_in_any_order(
+    customer: str, submission_first: bool
+) -> None:
+    """Guards against a cancelled job that runs after a restart, and against another's cancelling.
+
+    Pages of the newest records come in the order of the keys.
+    """
+    records: list[tuple[str, Record]] = [
+        (early_cancellation_key("a1", "1"), early_cancellation(customer)),
+        (submission_key("a1"), submission()),
+    ]
+    table = JobTable()
+    for key, record in reversed(records) if submission_first else records:
+        table.apply(key, record)
+    entry = table.get("a1")
+    assert entry is not None
+    assert entry.cancelled == (customer == "parish")
+    assert table.unconfirmed_cancellations == (["a1"] if customer == "parish" else [])
+
+
+@pytest.mark.parametrize("confirmed_by", ["cancellation", "progress", "removal"])
+def test_early_cancellation_is_kept_while_nothing_else_cancels_its_job(confirmed_by: str) -> None:
+    """Guards against a cancelled job that runs since its early cancellation was removed."""
+    now = 0.0
+    table = JobTable(clock=lambda: now)
+    key = early_cancellation_key("a1", "1")
+    table.apply(key, early_cancellation())
+    table.apply(submission_key("a1"), submission())
+    assert list(table.removable_early_cancellations()) == []
+    now = EARLY_CANCELLATION_SECONDS + 1.0
+    assert list(table.removable_early_cancellations()) == []
+    match confirmed_by:
+        case "cancellation":
+            table.apply(cancellation_key("a1"), Cancellation(job_id="a1", at=2.0))
+        case "progress":
+            table.apply(progress_key("a1"), Progress(job_id="a1", state="cancelled"))
+            assert list(table.removable_early_cancellations()) == []
+            table.apply(progress_key("a1"), Progress(job_id="a1", state="complete"))
+        case "removal":
+            table.apply(submission_key("a1"), None)
+    assert table.unconfirmed_cancellations == []
+    assert list(table.removable_early_cancellations()) == [key]
+    table.apply(key, None)
+    assert len(table.early_cancellations) == 0
