entry: the answer for an unknown job says `unknown`, not `not_run`

Cause: a job that the VM's fold of the log does not have was answered with `not_run`, which is returned only where it is proved. The job may have ended long ago and been dropped, or its submission, answered with `outcome_unknown` or accepted on another VM, may be on its way.

Change: `GET /v1/jobs/ID` and `.../why` answer `unknown` with the reason `unknown_job`; the status stays 404 and the exit code of the command line 8.

--- a/packages/entry/src/zinniaweir/entry/answers.py
+++ b/packages/entry/src/zinniaweir/entry/answers.py
@@ -76,5 +76,15 @@
     return Answer(status=status_of("not_run", reason), body=_json(body), refusal=reason)
 
 
+def unknown_job(job_id: str) -> Answer:
+    """Return the answer for a job that the log does not have.
+
+    That proves nothing: it may have ended long ago, or its submission may still arrive.
+    """
+    reason = "unknown_job"
+    body = {"state": "unknown", "reason": reason, "detail": job_id}
+    return Answer(status=_REASON_STATUS[reason], body=_json(body), refusal=reason)
+
+
 def _json(value: Any) -> bytes:
     return msgspec.json.encode(value) + b"\n"
--- a/packages/entry/src/zinniaweir/entry/jobs_api.py
+++ b/packages/entry/src/zinniaweir/entry/jobs_api.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from zinniaweir.entry.admission import corrected_from, name_problem_answer
-from zinniaweir.entry.answers import json_answer, not_run
+from zinniaweir.entry.answers import json_answer, not_run, unknown_job
 from zinniaweir.entry.scheduler_link import SchedulerUnavailableError
 from zinniaweir.wire.records import JobSpec
 from zinniaweir.wire.scheduler_service import (
@@ -140,7 +140,7 @@
         """Return the recorded history of a job."""
         answer = await self._forward("Why", WhyRequest(job_id=call.argument))
         if answer.status == 200 and msgspec.json.decode(answer.body)["job"] is None:
-            return not_run("unknown_job", call.argument)
+            return unknown_job(call.argument)
         return answer
 
     async def cancel_one(self, call: Call) -> Answer:
@@ -164,7 +164,7 @@
                 503, {"state": "unknown", "reason": "scheduler_unavailable", "detail": str(error)}
             )
         if reply.job is None:
-            return not_run(reply.refusal, reply.detail)
+            return unknown_job(job_id)
         return _job_answer(reply.job)
 
     async def _forward(self, name: str, request: Any) -> Answer:
