--- a/packages/node/src/zinniaweir/node/cancellation_confirmer.py
+++ b/packages/node/src/zinniaweir/node/cancellation_confirmer.py
@@ -57,7 +57,9 @@
             if not self._is_owner():
                 await asyncio.sleep(random.uniform(*CONFIRM_DELAY_SECONDS))
             for job_id in self._view.job_table.unconfirmed_cancellations:
-                await self._confirm(job_id)
+                entry = self._view.job_table.get(job_id)
+                if entry is not None and entry.needs_cancellation:
+                    await self._confirm(job_id)
             await asyncio.sleep(CONFIRM_RETRY_SECONDS)
             self._wake.clear()
 
@@ -73,8 +75,8 @@
             self._counters.add("cancellation_confirmations", reason=type(error).__name__)
             return
         except Exception as error:
-            # It would end the process, and do so again after each restart.
-            self._counters.add("cancellation_confirmations", reason="fault")
+            # It would end the process, and that of each other VM.
+            self._counters.add("cancellation_confirmations", reason=type(error).__name__)
             log("confirmation_fault", job_id=job_id, error=repr(error))
             return
         self._counters.add("cancellation_confirmations", reason="appended")
